--- /dev/null
+++ b/internal/daemon/config/config.go
@@ -0,0 +1,126 @@
+// Package config reads, checks and defaults what a relay is told. Nothing else reads the environment.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"oatfold/internal/memory"
+	"oatfold/policy"
+)
+
+// Config is all that a relay is told when it starts.
+type Config struct {
+	Name, Listen, Discovery, State string
+	Seed                           int64
+	MemoryBytes, DiskBytes         int64
+	Sockets                        int
+	ConnectTimeout                 time.Duration
+	Columns                        []string // of load reports
+	Known                          memory.PoolConfig
+	Settings                       policy.Settings
+}
+
+// Defaults of what the configuration may leave out.
+const (
+	defaultMemoryMB  = 192
+	defaultSockets   = 1024
+	defaultDiskMB    = 2
+	defaultConnectUs = 1_500_000
+	megabyte         = 1_000_000 // the smaller reading of a limit in MB
+)
+
+// Load reads the configuration file that the environment names. Variables of the environment, where set, go
+// before the file. Errors name the key at fault.
+func Load(getenv func(string) string) (*Config, error) {
+	raw := "{}"
+	if path := getenv("ROUTER_CONFIG"); path != "" {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+		}
+		raw = string(b)
+	}
+	c, err := parse(raw, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return c, nil
+}
+
+func parse(raw string, getenv func(string) string) (*Config, error) {
+	if !gjson.Valid(raw) {
+		return nil, fmt.Errorf("not JSON")
+	}
+	doc := gjson.Parse(raw)
+	text := func(env, key string) string {
+		if v := getenv(env); v != "" {
+			return v
+		}
+		return doc.Get(key).Str
+	}
+	c := &Config{Name: text("ROUTER_NAME", "name"), Listen: text("ROUTER_LISTEN", "listen"),
+		Discovery: text("ROUTER_DISCOVERY", "discovery"), State: getenv("ROUTER_STATE")}
+	if c.State == "" {
+		return nil, fmt.Errorf("ROUTER_STATE is not set: name the folder that lasts")
+	}
+	if st, err := os.Stat(c.State); err != nil || !st.IsDir() {
+		return nil, fmt.Errorf("ROUTER_STATE: %q is not a folder", c.State)
+	}
+	for key, addr := range map[string]string{"listen (ROUTER_LISTEN)": c.Listen, "discovery (ROUTER_DISCOVERY)": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is not host:port", key, addr)
+		}
+	}
+	if s := doc.Get("seed").Str; s != "" {
+		n, err := strconv.ParseUint(s, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is not a hexadecimal number", s)
+		}
+		c.Seed = int64(n)
+	} else {
+		c.Seed = time.Now().UnixNano()
+	}
+	limit := func(key string, fallback float64) (float64, error) {
+		v := doc.Get(key)
+		if !v.Exists() {
+			return fallback, nil
+		}
+		if v.Type != gjson.Number || v.Num <= 0 {
+			return 0, fmt.Errorf("%s: %s is not a number above 0", key, v.Raw)
+		}
+		return v.Num, nil
+	}
+	var numbers [4]float64
+	for i, l := range []struct {
+		key      string
+		fallback float64
+	}{{"limits.memory_mb", defaultMemoryMB}, {"limits.sockets", defaultSockets}, {"limits.disk_mb", defaultDiskMB},
+		{"settings.policyLimits.connectTimeoutUs", defaultConnectUs}} {
+		n, err := limit(l.key, l.fallback)
+		if err != nil {
+			return nil, err
+		}
+		numbers[i] = n
+	}
+	c.MemoryBytes, c.Sockets = int64(numbers[0]*megabyte), int(numbers[1])
+	c.DiskBytes, c.ConnectTimeout = int64(numbers[2]*megabyte), time.Duration(numbers[3])*time.Microsecond
+	if !doc.Get("settings").Exists() {
+		return nil, fmt.Errorf("settings: missing")
+	}
+	var err error
+	if c.Settings, c.Columns, err = ParseSettings(doc.Get("settings").Raw); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if known := doc.Get("known"); known.Exists() {
+		if c.Known, err = memory.ParsePoolConfig(known.Raw); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/daemon/config/settings.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"oatfold/policy"
+)
+
+var effects = map[string]policy.Effect{
+	"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe,
+}
+
+func us(v gjson.Result) time.Duration { return time.Duration(v.Int()) * time.Microsecond }
+
+// ParseSettings reads the settings object, which a BOOT of the simulator and the configuration of a real
+// relay hold alike: what the module is told, and the columns of load reports. Ranges are checked by the
+// module's New; unknown keys are skipped.
+func ParseSettings(raw string) (policy.Settings, []string, error) {
+	var s policy.Settings
+	if !gjson.Valid(raw) || !gjson.Parse(raw).IsObject() {
+		return s, nil, fmt.Errorf("malformed settings: not a JSON object")
+	}
+	doc := gjson.Parse(raw)
+	for _, k := range []struct {
+		path string
+		want gjson.Type
+	}{{"fleetSize", gjson.Number}, {"tickUs", gjson.Number}, {"familyInfo.callSlots", gjson.Number},
+		{"policyLimits.maxOpen", gjson.Number}, {"policyLimits.maxAttempts", gjson.Number},
+		{"policyLimits.connIdleUs", gjson.Number}, {"policyLimits.connectTimeoutUs", gjson.Number},
+		{"policyLimits.maxRetryAfterUs", gjson.Number}, {"discovery", gjson.String}, {"weightSource", gjson.String}} {
+		if v := doc.Get(k.path); v.Exists() && v.Type != k.want {
+			return s, nil, fmt.Errorf("malformed settings: %s is %s, want %v", k.path, v.Raw, k.want)
+		}
+	}
+	lim, g, fam := doc.Get("policyLimits"), doc.Get("guarantees"), doc.Get("familyInfo")
+	s = policy.Settings{
+		Senders: int(doc.Get("fleetSize").Int()), Slots: int(fam.Get("callSlots").Int()),
+		MaxHeld: int(lim.Get("maxOpen").Int()), MaxAttempts: int(lim.Get("maxAttempts").Int()),
+		AskForList: doc.Get("discovery").Str == "ask", AskWithin: us(g.Get("askWithinUs")),
+		RetryAdvice: lim.Get("retryAfter").Bool(), MaxRetryAdvice: us(lim.Get("maxRetryAfterUs")),
+		Tick: us(doc.Get("tickUs")), ConnIdle: us(lim.Get("connIdleUs")), ColdFrom: g.Get("coldFrom").Float(),
+		ColdTime: us(g.Get("coldUs")), OverloadFactor: g.Get("overloadFactor").Float(),
+		OverloadTime: us(g.Get("fallUs")), KeyQuiet: us(g.Get("keyQuietUs")),
+		OverShareWorth: doc.Get("overShareWorth").Float(), HalvingWorth: fam.Get("decay").Str == "halving",
+	}
+	weights := doc.Get("weightSource").Str
+	s.RatesListed = weights == "nominal" || weights == "rough"
+	for _, c := range doc.Get("grades").Array() {
+		name := c.Get("name").Str
+		effect, ok := effects[c.Get("effect").Str]
+		if !ok {
+			return s, nil, fmt.Errorf("class %q has unknown effect %q", name, c.Get("effect").Str)
+		}
+		s.Classes = append(s.Classes, policy.Class{Name: name, Effect: effect,
+			ZoneOnly: effect == policy.Keyed && c.Get("group").Str != "all", Window: us(c.Get("repeatWindowUs")),
+			Ordered: c.Get("inTurn").Bool(), Aim: us(c.Get("promiseUs")), Deadline: us(c.Get("deadlineUs")),
+			Worth: c.Get("credit").Float(), LateWorth: c.Get("lateValue").Float()})
+	}
+	for _, t := range doc.Get("tenants").Array() {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Get("name").Str, Share: t.Get("share").Float(),
+			Quota: t.Get("quotaPerS").Float()})
+	}
+	batch, apart, fees := fam.Get("batchByKind").Array(), fam.Get("separateRoutes").Array(), fam.Get("feeByZone").Array()
+	for i, name := range doc.Get("kinds").Array() {
+		k := policy.Kind{Name: name.Str, Batch: 1}
+		if i < len(batch) {
+			k.Batch = int(batch[i].Int())
+		}
+		if i < len(apart) {
+			k.SeparateRoutes = apart[i].Bool()
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	for i, name := range doc.Get("zones").Array() {
+		z := policy.Zone{Name: name.Str}
+		if i < len(fees) {
+			z.Fee = fees[i].Float()
+		}
+		s.Zones = append(s.Zones, z)
+	}
+	var columns []string
+	for _, c := range doc.Get("stats.columns").Array() {
+		columns = append(columns, c.Str)
+	}
+	return s, columns, nil
+}
--- /dev/null
+++ b/internal/memory/table.go
@@ -0,0 +1,101 @@
+// Package memory holds what a relay keeps: the message table, the pool config and the journal.
+package memory
+
+import (
+	"time"
+
+	"oatfold/policy"
+)
+
+// Message is one message that the relay owes its end, or has a route step out for.
+type Message struct {
+	Num      uint32 // its number towards the module, never used twice in a process
+	ID       string // the client's correlation id
+	Class    string
+	Key      string // idempotency key, passed on as it came
+	Dest     int
+	Body     []byte
+	Deadline time.Time // wall clock: outlives the process
+
+	Steps  int       // route steps begun, also in earlier lives
+	RiskAt time.Time // when the first step that may have run began; zero: none
+	Out    *Out      // the step that is out
+	Owed   *Notice   // the notice that is still to be taken by the platform
+}
+
+// Out is one route step of one message that is out. Each gets exactly one end.
+type Out struct {
+	Step     int
+	Endpoint string
+	At       policy.Time
+	WallAt   time.Time
+	Until    policy.Time // when the message's own time is up, if the call lasts longer
+}
+
+// Notice ends a message that was taken on and is not delivered.
+type Notice struct {
+	Refused bool          // handed back; else given up
+	Advice  time.Duration // handed back: when to come again, 0 for no advice
+}
+
+// Table finds messages by number and by id. It is owned by one goroutine.
+type Table struct {
+	byNum map[uint32]*Message
+	byID  map[string]*Message
+	last  uint32
+	live  int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{byNum: map[uint32]*Message{}, byID: map[string]*Message{}}
+}
+
+// Next returns a number that no message of this table has had.
+func (t *Table) Next() uint32 {
+	t.last++
+	return t.last
+}
+
+// Add enters m under its number and id.
+func (t *Table) Add(m *Message) {
+	t.byNum[m.Num], t.byID[m.ID] = m, m
+	t.last = max(t.last, m.Num)
+	if m.Owed == nil {
+		t.live++
+	}
+}
+
+// Get returns the message of that number, nil if it is over.
+func (t *Table) Get(num uint32) *Message { return t.byNum[num] }
+
+// ByID returns the message of that correlation id, nil if it is not held.
+func (t *Table) ByID(id string) *Message { return t.byID[id] }
+
+// Owe books that m is ended and only its notice is owed.
+func (t *Table) Owe(m *Message, n Notice) {
+	if m.Owed == nil {
+		t.live--
+	}
+	m.Owed, m.Body = &n, nil
+}
+
+// Remove forgets m: nothing more is owed.
+func (t *Table) Remove(m *Message) {
+	if t.byNum[m.Num] != m {
+		return
+	}
+	delete(t.byNum, m.Num)
+	if t.byID[m.ID] == m {
+		delete(t.byID, m.ID)
+	}
+	if m.Owed == nil {
+		t.live--
+	}
+}
+
+// Live counts the messages that are not ended.
+func (t *Table) Live() int { return t.live }
+
+// All returns every message, in no order.
+func (t *Table) All() map[uint32]*Message { return t.byNum }
--- /dev/null
+++ b/internal/wire/host.go
@@ -0,0 +1,522 @@
+package wire
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"oatfold/internal/memory"
+	"oatfold/policy"
+)
+
+const (
+	eventRoom  = 1024
+	idleShare  = 0.8 // of the time after which an idle connection is closed by the other side
+	upkeepTurn = time.Second
+)
+
+// Host carries the decision module: one goroutine owns the module, the message table and the journal;
+// connections send it events. It never waits for a socket.
+type Host struct {
+	set         policy.Settings
+	relay       *policy.Relay
+	table       *memory.Table
+	journal     *memory.Journal
+	log         *slog.Logger
+	dialTimeout time.Duration
+	start       time.Time
+	events      chan any
+	notices     chan owed
+	unsent      []owed // notices that did not fit the channel yet
+
+	pending   []policy.Event
+	arrivals  []*memory.Message
+	endpoints map[string]*endpoint
+	gates     map[int]*gate
+	calls     map[*call]struct{}
+	kindBatch map[string]int
+	kinds     map[int]string // of destinations
+	lastStep  policy.Time
+	wakeAt    policy.Time // 0: none asked for
+	upkeepAt  policy.Time
+	quiet     bool // no further steps: the rest stays in the journal
+	refused   int  // hand-ins turned away since the last log line
+}
+
+// HostConfig is what a host is made from.
+type HostConfig struct {
+	Settings       policy.Settings
+	Seed           int64
+	ConnectTimeout time.Duration
+	Known          memory.PoolConfig
+	Table          *memory.Table
+	Journal        *memory.Journal
+	Log            *slog.Logger
+}
+
+// NewHost returns a host that holds again what the table holds.
+func NewHost(c HostConfig) (*Host, error) {
+	relay, err := policy.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{set: c.Settings, relay: relay, table: c.Table, journal: c.Journal, log: c.Log,
+		dialTimeout: c.ConnectTimeout, start: time.Now(), events: make(chan any, eventRoom),
+		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{},
+		calls: map[*call]struct{}{}, kindBatch: map[string]int{}, kinds: map[int]string{}}
+	for _, k := range c.Settings.Kinds {
+		h.kindBatch[k.Name] = k.Batch
+	}
+	h.lastStep = -c.Settings.Tick
+	h.poolNews(c.Known, policy.ListRestored)
+	h.restore()
+	return h, nil
+}
+
+// Events is where connections report.
+func (h *Host) Events() chan<- any { return h.events }
+
+// Watch starts what talks to the platform: the watch of the pool config and the notices.
+func (h *Host) Watch(discovery string) {
+	go watch(discovery, h.events, h.log)
+	go notify(discovery, h.notices, h.events, h.log)
+}
+
+func (h *Host) now() policy.Time { return time.Since(h.start) }
+
+// restore hands what an earlier life left to the module, in the order in which it was taken on.
+func (h *Host) restore() {
+	var all []*memory.Message
+	for _, m := range h.table.All() {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
+	open := 0
+	for _, m := range all {
+		if m.Owed != nil {
+			h.owe(m)
+			continue
+		}
+		open++
+		h.arrivals = append(h.arrivals, m)
+	}
+	if len(all) > 0 {
+		h.log.Info("restored", "messages", open, "notices", len(all)-open)
+	}
+}
+
+// command is run by the host's goroutine.
+type command func(h *Host)
+
+// Run handles events until stop is closed.
+func (h *Host) Run(stop <-chan struct{}) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case e := <-h.events:
+			h.take(e)
+		case <-timer.C:
+		}
+		// All that has come in goes into this step, in the order of arrival: a told wait or a drain is known
+		// before any later send.
+		for more := true; more; {
+			select {
+			case e := <-h.events:
+				h.take(e)
+			default:
+				more = false
+			}
+		}
+		now := h.now()
+		h.expire(now)
+		if h.wakeAt > 0 && now >= h.wakeAt {
+			h.wakeAt, h.pending = 0, append(h.pending, policy.Woke{})
+		}
+		if h.due() && now-h.lastStep >= h.set.Tick {
+			h.step(now)
+		}
+		if now >= h.upkeepAt {
+			h.upkeep(now)
+		}
+		h.flushNotices()
+		timer.Reset(max(0, h.next()-h.now()))
+	}
+}
+
+func (h *Host) due() bool { return !h.quiet && len(h.pending)+len(h.arrivals) > 0 }
+
+// next is when the loop has to look again without an event.
+func (h *Host) next() policy.Time {
+	at := h.upkeepAt
+	if h.due() {
+		at = min(at, h.lastStep+h.set.Tick)
+	}
+	if h.wakeAt > 0 && !h.quiet {
+		at = min(at, h.wakeAt)
+	}
+	for cl := range h.calls {
+		for i := range cl.items {
+			if it := &cl.items[i]; !it.ended && it.until > 0 {
+				at = min(at, it.until)
+			}
+		}
+	}
+	if len(h.unsent) > 0 {
+		at = min(at, h.now()+h.set.Tick)
+	}
+	return at
+}
+
+func (h *Host) take(e any) {
+	switch e := e.(type) {
+	case handIn:
+		e.reply <- h.handIn(e)
+	case handedIn:
+		if m := h.table.Get(e.num); m == nil {
+			return
+		} else if e.told {
+			h.arrivals = append(h.arrivals, m)
+		} else {
+			h.over(m) // the client never heard of it, and may hand it in again
+		}
+	case callEnded:
+		h.callEnded(e)
+	case poolNews:
+		kind := policy.ListChanges
+		if e.Whole {
+			kind = policy.ListWhole
+		}
+		h.poolNews(e.PoolConfig, kind)
+	case noticed:
+		for _, num := range e.nums {
+			if m := h.table.Get(num); m != nil {
+				h.over(m)
+			}
+		}
+	case command:
+		e(h)
+	}
+}
+
+// --- messages ---
+
+// handIn takes a message on: it is in the journal before its client hears of it.
+func (h *Host) handIn(e handIn) verdict {
+	if h.table.ByID(e.msg.ID) != nil {
+		return verdict{known: true} // the same hand-in once more: it is taken already
+	}
+	err := error(nil)
+	if h.table.Live() < h.set.MaxHeld {
+		e.msg.Num = h.table.Next()
+		if err = h.journal.Taken(h.table, e.msg); err == nil {
+			return verdict{taken: true}
+		}
+		h.log.Error("message not taken on", "err", err)
+	}
+	h.refused++
+	v := verdict{}
+	if h.set.RetryAdvice {
+		v.retry = h.set.MaxRetryAdvice / 2
+	}
+	return v
+}
+
+// over books that nothing more is owed for m.
+func (h *Host) over(m *memory.Message) {
+	h.table.Remove(m)
+	if err := h.journal.Over(h.table, m); err != nil {
+		h.log.Error("end not recorded", "message", m.ID, "err", err)
+	}
+}
+
+// finish ends m by a notice. It is owed until the platform has taken it, also after a restart.
+func (h *Host) finish(num uint32, n memory.Notice) {
+	m := h.table.Get(num)
+	if m == nil || m.Owed != nil {
+		return
+	}
+	h.table.Owe(m, n)
+	if err := h.journal.Owed(h.table, m); err != nil {
+		h.log.Error("notice not recorded", "message", m.ID, "err", err)
+	}
+	h.owe(m)
+}
+
+func (h *Host) owe(m *memory.Message) { h.unsent = append(h.unsent, owed{m.Num, m.ID, *m.Owed}) }
+
+func (h *Host) flushNotices() {
+	for len(h.unsent) > 0 {
+		select {
+		case h.notices <- h.unsent[0]:
+			h.unsent = h.unsent[1:]
+		default:
+			return
+		}
+	}
+	h.unsent = nil
+}
+
+// --- the module ---
+
+func (h *Host) step(now policy.Time) {
+	wall := time.Now()
+	for _, m := range h.arrivals {
+		a := policy.Arrived{ID: m.Num, Class: m.Class, Destination: m.Dest, Left: m.Deadline.Sub(wall), Tries: m.Steps}
+		if !m.RiskAt.IsZero() {
+			a.MayHave, a.RiskAge = true, wall.Sub(m.RiskAt)
+		}
+		h.pending = append(h.pending, a)
+	}
+	events := h.pending
+	h.pending, h.arrivals, h.lastStep = nil, nil, now
+	acts := h.relay.Step(now, events)
+	var calls []*call
+	open := map[string]*call{}
+	for _, a := range acts {
+		switch a := a.(type) {
+		case policy.Send:
+			calls = h.send(now, wall, a, open, calls)
+		case policy.Refuse:
+			h.finish(a.ID, memory.Notice{Refused: true, Advice: a.RetryAfter})
+		case policy.Fail:
+			h.finish(a.ID, memory.Notice{})
+		case policy.WakeAfter:
+			h.wakeAt = now + a.Delay
+		case policy.CloseIdle:
+			if ep := h.endpoints[a.Endpoint]; ep != nil {
+				ep.closeIdle()
+			}
+		case policy.Note:
+			h.log.Info("module", "note", a.Text)
+		}
+	}
+	for _, cl := range calls {
+		h.begin(cl, wall)
+	}
+}
+
+// send adds a message to the call that the step makes to its endpoint, up to the kind's batch. What can't be
+// sent ends as unsent, with the next step.
+func (h *Host) send(now policy.Time, wall time.Time, a policy.Send, open map[string]*call, calls []*call) []*call {
+	m, ep := h.table.Get(a.ID), h.endpoints[a.Endpoint]
+	if m == nil {
+		return calls
+	}
+	if ep == nil || ep.dest != m.Dest || m.Out != nil || m.Owed != nil {
+		// Guards against a call to an endpoint of another destination or a second copy, whatever the module says.
+		h.log.Error("send not made", "message", m.ID, "endpoint", a.Endpoint)
+		h.pending = append(h.pending, policy.Ended{ID: m.Num, Attempt: m.Steps, Endpoint: a.Endpoint, Outcome: policy.Unsent})
+		m.Steps++
+		return calls
+	}
+	cl := open[a.Endpoint]
+	if cl == nil || len(cl.items) >= max(1, h.kindBatch[h.kinds[m.Dest]]) {
+		cl = &call{ep: ep, began: now}
+		open[a.Endpoint], calls = cl, append(calls, cl)
+	}
+	m.Out = &memory.Out{Step: m.Steps, Endpoint: a.Endpoint, At: now, WallAt: wall}
+	m.Steps++
+	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, body: m.Body}
+	if left := m.Deadline.Sub(wall); a.Timeout >= left-h.set.Tick {
+		it.until = now + left
+	}
+	cl.timeout = max(cl.timeout, a.Timeout)
+	cl.items = append(cl.items, it)
+	return calls
+}
+
+// begin records the call and gives it to a connection.
+func (h *Host) begin(cl *call, wall time.Time) {
+	msgs := make([]*memory.Message, len(cl.items))
+	for i := range cl.items {
+		msgs[i] = h.table.Get(cl.items[i].num)
+	}
+	h.calls[cl] = struct{}{}
+	if err := h.journal.Out(h.table, wall, msgs); err != nil {
+		h.log.Error("call not made", "endpoint", cl.ep.id, "err", err)
+		h.callEnded(callEnded{call: cl, ends: alike(cl, end{outcome: policy.Unsent})})
+		return
+	}
+	cl.deadline = time.Now().Add(cl.timeout)
+	c := cl.ep.pick()
+	if c == nil {
+		c = &routeConn{ep: cl.ep, calls: make(chan *call, 1), dialTimeout: h.dialTimeout}
+		go c.run(h.events)
+	}
+	c.calls <- cl
+}
+
+// callEnded tells the module how each message of a call ended.
+func (h *Host) callEnded(e callEnded) {
+	now := h.now()
+	delete(h.calls, e.call)
+	if e.conn != nil && e.keep {
+		e.conn.usedAt = time.Now()
+		if e.conn.ep.gone() {
+			close(e.conn.calls)
+		} else {
+			e.conn.ep.idle = append(e.conn.ep.idle, e.conn)
+		}
+	}
+	if e.err != nil && h.log.Enabled(nil, slog.LevelDebug) {
+		h.log.Debug("route step failed", "endpoint", e.call.ep.id, "dest", e.call.ep.dest, "messages", len(e.call.items),
+			"after", now-e.call.began, "err", e.err)
+	}
+	for i := range e.call.items {
+		h.itemEnded(&e.call.items[i], e, e.ends[i], now)
+	}
+}
+
+func (h *Host) itemEnded(it *item, e callEnded, r end, now policy.Time) {
+	m := h.table.Get(it.num)
+	if m != nil && m.Out != nil && m.Out.Step == it.step {
+		began := m.Out.WallAt
+		m.Out = nil
+		switch r.outcome {
+		case policy.Delivered:
+		case policy.Rejected, policy.ConnectFailed, policy.Unsent:
+			if err := h.journal.NotRun(h.table, m); err != nil {
+				h.log.Error("end of a route step not recorded", "message", m.ID, "err", err)
+			}
+		default:
+			if m.RiskAt.IsZero() {
+				m.RiskAt = began
+			}
+		}
+		if (r.outcome == policy.Delivered || r.over) && m.Owed == nil {
+			h.over(m)
+		}
+	}
+	if it.ended {
+		return
+	}
+	it.ended = true
+	h.pending = append(h.pending, policy.Ended{ID: it.num, Attempt: it.step, Endpoint: e.call.ep.id,
+		Outcome: r.outcome, Took: now - e.call.began, Final: r.outcome == policy.Delivered || r.over,
+		Wait: e.wait, Report: e.report})
+}
+
+// expire ends messages whose own time is up while others keep their call out. The call goes on; should it
+// still deliver, that does no harm. Guards against a notice that comes too late.
+func (h *Host) expire(now policy.Time) {
+	for cl := range h.calls {
+		for i := range cl.items {
+			if it := &cl.items[i]; !it.ended && it.until > 0 && now >= it.until {
+				it.ended = true
+				h.pending = append(h.pending, policy.Ended{ID: it.num, Attempt: it.step, Endpoint: cl.ep.id,
+					Outcome: policy.TimedOut, Took: now - cl.began})
+			}
+		}
+	}
+}
+
+// --- the pool config ---
+
+func (h *Host) poolNews(pc memory.PoolConfig, kind policy.ListKind) {
+	news := policy.ListNews{Kind: kind}
+	named := map[string]bool{}
+	for _, mb := range pc.Members {
+		named[mb.Address] = true
+		news.Entries = append(news.Entries, mb.Endpoint)
+		h.member(mb)
+	}
+	if kind != policy.ListChanges {
+		for id, ep := range h.endpoints {
+			if !named[id] {
+				ep.state.Store(int32(policy.Removed))
+			}
+		}
+	}
+	for id, ep := range h.endpoints {
+		if ep.gone() {
+			ep.closeIdle()
+			delete(h.endpoints, id)
+		}
+	}
+	h.pending = append(h.pending, news)
+	h.log.Debug("pool config", "generation", pc.Generation, "entries", len(pc.Members), "whole", kind != policy.ListChanges)
+}
+
+func (h *Host) member(mb memory.Member) {
+	ep := h.endpoints[mb.Address]
+	if mb.State == policy.Removed {
+		if ep != nil {
+			ep.state.Store(int32(policy.Removed))
+		}
+		return
+	}
+	if ep == nil || ep.addr != mb.HostPort || ep.dest != mb.Destination {
+		if ep != nil {
+			ep.state.Store(int32(policy.Removed)) // its connections lead elsewhere now
+			ep.closeIdle()
+		}
+		g := h.gates[mb.Destination]
+		if g == nil {
+			g = &gate{}
+			h.gates[mb.Destination] = g
+		}
+		ep = &endpoint{id: mb.Address, addr: mb.HostPort, dest: mb.Destination, gate: g}
+		h.endpoints[mb.Address] = ep
+	}
+	ep.state.Store(int32(mb.State))
+	h.kinds[mb.Destination] = mb.Kind
+}
+
+func (ep *endpoint) gone() bool { return policy.EndpointState(ep.state.Load()) == policy.Removed }
+
+// pick takes the idle connection that was used last, if there is one.
+func (ep *endpoint) pick() *routeConn {
+	n := len(ep.idle)
+	if n == 0 {
+		return nil
+	}
+	c := ep.idle[n-1]
+	ep.idle = ep.idle[:n-1]
+	return c
+}
+
+func (ep *endpoint) closeIdle() {
+	for _, c := range ep.idle {
+		close(c.calls)
+	}
+	ep.idle = nil
+}
+
+// --- upkeep, start and stop ---
+
+// upkeep closes connections well before the other side would.
+func (h *Host) upkeep(now policy.Time) {
+	h.upkeepAt = now + upkeepTurn
+	if h.set.ConnIdle > 0 {
+		limit := time.Duration(float64(h.set.ConnIdle) * idleShare)
+		for _, ep := range h.endpoints {
+			for len(ep.idle) > 0 && time.Since(ep.idle[0].usedAt) > limit {
+				close(ep.idle[0].calls)
+				ep.idle = ep.idle[1:]
+			}
+		}
+	}
+	if h.refused > 0 {
+		h.log.Warn("hand-ins turned away", "count", h.refused, "held", h.table.Live())
+		h.refused = 0
+	}
+}
+
+// Do runs f on the host's goroutine and waits for it.
+func (h *Host) Do(f func(*Host)) {
+	done := make(chan struct{})
+	h.events <- command(func(h *Host) { f(h); close(done) })
+	<-done
+}
+
+// Quiet ends the steps: calls out are still finished, the rest stays in the journal.
+func (h *Host) Quiet() { h.Do(func(h *Host) { h.quiet = true }) }
+
+// Load counts the messages held and the calls out.
+func (h *Host) Load() (held, out int) {
+	h.Do(func(h *Host) { held, out = len(h.table.All()), len(h.calls) })
+	return held, out
+}
--- /dev/null
+++ b/internal/wire/http.go
@@ -0,0 +1,279 @@
+// Package wire holds what the relay speaks: HTTP/1.1 on plain sockets towards clients (the front socket),
+// endpoints (route steps) and the platform (pool config and notices), and the host that carries the decision
+// module between them.
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Bounds on what a peer may send.
+const (
+	maxBody   = 64 << 10 // of one message
+	maxAnswer = 1 << 20  // of a list or a batch's answer
+	maxLine   = 8 << 10  // also the size of every read buffer
+	maxHead   = 32 << 10
+	maxFields = 100
+)
+
+// What may be wrong with a peer's bytes.
+var (
+	errLine    = errors.New("malformed first line")
+	errHeader  = errors.New("malformed header")
+	errLength  = errors.New("malformed length")
+	errTooLong = errors.New("body too long")
+	errHead    = errors.New("header too long")
+)
+
+// field is one header line.
+type field struct{ name, value string }
+
+// head is a first line, in three parts, and the header below it.
+type head struct {
+	line   [3]string
+	fields []field
+}
+
+// get returns the value of the first field of that name.
+func (h *head) get(name string) string {
+	for i := range h.fields {
+		if strings.EqualFold(h.fields[i].name, name) {
+			return h.fields[i].value
+		}
+	}
+	return ""
+}
+
+// readLine reads one line without its end.
+func readLine(r *bufio.Reader, left *int) (string, error) {
+	b, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return "", errHead
+	}
+	if err != nil {
+		if err == io.EOF && len(b) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return "", err
+	}
+	if *left -= len(b); *left < 0 {
+		return "", errHead
+	}
+	b = b[:len(b)-1]
+	if n := len(b); n > 0 && b[n-1] == '\r' {
+		b = b[:n-1]
+	}
+	return string(b), nil
+}
+
+// readHead reads a first line and its header. Errors of the connection come through as they are.
+func readHead(r *bufio.Reader) (*head, error) {
+	left := maxHead
+	line, err := readLine(r, &left)
+	if err != nil {
+		return nil, err
+	}
+	h := &head{fields: make([]field, 0, 8)}
+	parts := strings.SplitN(line, " ", 3)
+	if len(parts) < 2 || parts[0] == "" || parts[1] == "" {
+		return nil, errLine
+	}
+	copy(h.line[:], parts)
+	for {
+		line, err := readLine(r, &left)
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		if line == "" {
+			return h, nil
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !token(name) || strings.ContainsAny(value, "\r\x00") {
+			return nil, errHeader
+		}
+		if len(h.fields) == maxFields {
+			return nil, errHead
+		}
+		h.fields = append(h.fields, field{name, strings.Trim(value, " \t")})
+	}
+}
+
+// token tells whether s may name a header field. Guards against folded lines and smuggled blanks, which
+// others may read differently.
+func token(s string) bool {
+	for i := 0; i < len(s); i++ {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("()<>@,;:\\\"/[]?={}", c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// framing tells how long the body is: a length, chunks, or none stated (-1).
+func (h *head) framing() (length int, chunked bool, err error) {
+	length = -1
+	for _, f := range h.fields {
+		switch {
+		case strings.EqualFold(f.name, "Content-Length"):
+			n, err := number(f.value)
+			if err != nil || length >= 0 && n != length {
+				return 0, false, errLength
+			}
+			length = n
+		case strings.EqualFold(f.name, "Transfer-Encoding"):
+			if chunked || !strings.EqualFold(f.value, "chunked") {
+				return 0, false, errLength
+			}
+			chunked = true
+		}
+	}
+	if chunked && length >= 0 {
+		return 0, false, errLength
+	}
+	return length, chunked, nil
+}
+
+// number reads a plain decimal number: no sign, no blank.
+func number(s string) (int, error) {
+	if s == "" || len(s) > 15 || strings.Trim(s, "0123456789") != "" {
+		return 0, errLength
+	}
+	return strconv.Atoi(s)
+}
+
+// readBody reads a body of the stated framing, up to limit bytes.
+func readBody(r *bufio.Reader, length int, chunked bool, limit int) ([]byte, error) {
+	if chunked {
+		return readChunks(r, limit)
+	}
+	if length > limit {
+		return nil, errTooLong
+	}
+	if length <= 0 {
+		return nil, nil
+	}
+	b := make([]byte, length)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, short(err)
+	}
+	return b, nil
+}
+
+func readChunks(r *bufio.Reader, limit int) ([]byte, error) {
+	var b []byte
+	for left := maxHead; ; {
+		line, err := readLine(r, &left)
+		if err != nil {
+			return nil, short(err)
+		}
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil {
+			return nil, errLength
+		}
+		if n == 0 {
+			break
+		}
+		if len(b)+int(n) > limit {
+			return nil, errTooLong
+		}
+		at := len(b)
+		b = append(b, make([]byte, n)...)
+		if _, err := io.ReadFull(r, b[at:]); err != nil {
+			return nil, short(err)
+		}
+		if line, err := readLine(r, &left); err != nil || line != "" {
+			return nil, errLength
+		}
+	}
+	for left := maxHead; ; {
+		if line, err := readLine(r, &left); err != nil || line == "" {
+			return b, short(err)
+		}
+	}
+}
+
+// short is the error of a body that ends before its time.
+func short(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// closes tells whether the peer closes the connection after this message.
+func (h *head) closes(version string) bool {
+	for _, f := range h.fields {
+		if strings.EqualFold(f.name, "Connection") {
+			if strings.Contains(strings.ToLower(f.value), "close") {
+				return true
+			}
+			return version == "HTTP/1.0" && !strings.Contains(strings.ToLower(f.value), "keep-alive")
+		}
+	}
+	return version == "HTTP/1.0"
+}
+
+// answer is a response as far as it was read.
+type answer struct {
+	head
+	status int
+	body   []byte
+	keep   bool // the connection can carry another call
+}
+
+// readStatus reads the head of a response; interim ones are passed over.
+func readStatus(r *bufio.Reader) (*answer, error) {
+	for {
+		h, err := readHead(r)
+		if err != nil {
+			return nil, err
+		}
+		n, err := number(h.line[1])
+		if err != nil || n < 100 || n > 999 || !strings.HasPrefix(h.line[0], "HTTP/1.") {
+			return nil, errLine
+		}
+		if n >= 200 {
+			return &answer{head: *h, status: n}, nil
+		}
+	}
+}
+
+// readRest reads the body of a response whose head is read.
+func (a *answer) readRest(r *bufio.Reader) error {
+	length, chunked, err := a.framing()
+	if err != nil {
+		return err
+	}
+	if length < 0 && !chunked && a.status != 204 && a.status != 304 {
+		// No length: the body ends with the connection.
+		a.body, err = io.ReadAll(io.LimitReader(r, maxAnswer))
+		return err
+	}
+	if a.status != 204 && a.status != 304 {
+		if a.body, err = readBody(r, length, chunked, maxAnswer); err != nil {
+			return err
+		}
+	}
+	a.keep = !a.closes(a.line[0])
+	return nil
+}
+
+// appendField writes one header line. Values come from parsed lines and hold no line end.
+func appendField(b []byte, name, value string) []byte {
+	b = append(append(append(b, name...), ": "...), value...)
+	return append(b, '\r', '\n')
+}
+
+func appendLength(b []byte, n int) []byte {
+	b = strconv.AppendInt(append(b, "Content-Length: "...), int64(n), 10)
+	return append(b, "\r\n\r\n"...)
+}
--- /dev/null
+++ b/internal/wire/route.go
@@ -0,0 +1,355 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"oatfold/policy"
+)
+
+// Stage is how far a route step had come.
+type Stage int
+
+// The stages of a route step.
+const (
+	Started  Stage = iota // no connection yet
+	Dialled               // the connection is up, the last byte is not written
+	Written               // the last byte is written: from here on the call may have run
+	Answered              // the first line of the answer was read
+)
+
+// StepError is the end of a route step without an answer. What it means for a repeat follows from the stage.
+type StepError struct {
+	Stage Stage
+	Err   error
+}
+
+func (e *StepError) Error() string {
+	return fmt.Sprintf("%s: %v", [...]string{"not dialled", "dialled", "written", "answered"}[e.Stage], e.Err)
+}
+
+func (e *StepError) Unwrap() error { return e.Err }
+
+// NeverRan tells whether the error proves that the endpoint has not run the call.
+func (e *StepError) NeverRan() bool { return e.Stage < Written }
+
+// Outcome is what the module is told.
+func (e *StepError) Outcome() policy.Outcome {
+	switch {
+	case errors.Is(e.Err, errHeldBack):
+		return policy.Unsent
+	case e.NeverRan():
+		return policy.ConnectFailed
+	case errors.Is(e.Err, os.ErrDeadlineExceeded):
+		return policy.TimedOut
+	}
+	return policy.Broken
+}
+
+// errHeldBack ends a call whose destination told a wait, or whose endpoint was drained, while it was dialled.
+var errHeldBack = errors.New("destination may not be sent to now")
+
+// gate is what the connections of a destination share: until when it must not be sent to.
+type gate struct{ until atomic.Int64 }
+
+// hold closes the gate for at least d from now on.
+func (g *gate) hold(d time.Duration) {
+	for end := time.Now().Add(d).UnixNano(); ; {
+		was := g.until.Load()
+		if was >= end || g.until.CompareAndSwap(was, end) {
+			return
+		}
+	}
+}
+
+func (g *gate) closed() bool { return time.Now().UnixNano() < g.until.Load() }
+
+// endpoint is where a member of the pool config is reached. The state is read by its connections.
+type endpoint struct {
+	id, addr string
+	dest     int
+	state    atomic.Int32 // policy.EndpointState
+	gate     *gate
+	idle     []*routeConn // last used last
+}
+
+// item is one message of a call.
+type item struct {
+	num     uint32
+	step    int
+	id, key string
+	body    []byte
+	until   policy.Time // when its own time is up
+	ended   bool        // its end was told to the module
+}
+
+// call is one route step on its way: one message, or several of one step to one endpoint.
+type call struct {
+	ep       *endpoint
+	items    []item
+	began    policy.Time
+	timeout  time.Duration
+	deadline time.Time
+}
+
+// end is how one item of a call ended.
+type end struct {
+	outcome policy.Outcome
+	over    bool // the endpoint says that nothing more is owed
+}
+
+// callEnded is what a connection reports of a call.
+type callEnded struct {
+	conn   *routeConn
+	call   *call
+	ends   []end // one for each item
+	wait   time.Duration
+	report *policy.Report
+	err    error
+	keep   bool // the connection is idle now
+}
+
+// routeConn is one connection to an endpoint; its goroutine carries one call at a time.
+type routeConn struct {
+	ep          *endpoint
+	calls       chan *call
+	sock        net.Conn
+	r           *bufio.Reader
+	usedAt      time.Time // owned by the host
+	dialTimeout time.Duration
+	buf         []byte
+}
+
+// run carries calls until the channel is closed or the connection is of no more use.
+func (c *routeConn) run(events chan<- any) {
+	for cl := range c.calls {
+		res := c.carry(cl)
+		if !res.keep {
+			c.drop()
+		}
+		events <- res
+		if !res.keep {
+			return
+		}
+	}
+	c.drop()
+}
+
+func (c *routeConn) drop() {
+	if c.sock != nil {
+		c.sock.Close()
+		c.sock = nil
+	}
+}
+
+// carry makes one call. A panic ends the connection and the call, nothing else.
+func (c *routeConn) carry(cl *call) (res callEnded) {
+	res = callEnded{conn: c, call: cl}
+	stage := Started
+	fail := func(err error) {
+		se := &StepError{stage, err}
+		res.err, res.keep, res.ends = se, false, alike(cl, end{outcome: se.Outcome()})
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			fail(fmt.Errorf("panic: %v", p))
+		}
+	}()
+	if c.sock != nil && stale(c.sock) {
+		// Guards against a request written to a connection that the endpoint closed while it stood idle:
+		// that would end as a reset, and the message might have run.
+		c.drop()
+	}
+	if c.sock == nil {
+		limit := min(c.dialTimeout, time.Until(cl.deadline))
+		if limit <= 0 {
+			fail(os.ErrDeadlineExceeded)
+			return res
+		}
+		sock, err := (&net.Dialer{Timeout: limit, KeepAlive: -1}).Dial("tcp", c.ep.addr)
+		if err != nil {
+			fail(err)
+			return res
+		}
+		c.sock, c.r = sock, bufio.NewReaderSize(sock, maxLine)
+	}
+	stage = Dialled
+	// Guards against breaking a told wait or a drain that was learned while this call was dialled.
+	if cl.ep.gate.closed() || policy.EndpointState(cl.ep.state.Load()) != policy.Listed {
+		fail(errHeldBack)
+		return res
+	}
+	c.sock.SetDeadline(cl.deadline)
+	c.buf = appendCall(c.buf[:0], cl)
+	if _, err := c.sock.Write(c.buf); err != nil {
+		fail(err)
+		return res
+	}
+	stage = Written
+	a, err := readStatus(c.r)
+	if err != nil {
+		fail(err)
+		return res
+	}
+	stage = Answered
+	rest := a.readRest(c.r)
+	if w, err := number(a.get("Wait-Ms")); err == nil && w > 0 {
+		res.wait = time.Duration(w) * time.Millisecond
+		cl.ep.gate.hold(res.wait)
+	}
+	res.report = loadReport(a.get("X-Backend-Load"))
+	if rest != nil && (a.status != 200 || len(cl.items) > 1) {
+		fail(rest)
+		return res
+	}
+	res.keep = rest == nil && a.keep
+	res.ends = ends(cl, a)
+	return res
+}
+
+func alike(cl *call, e end) []end {
+	out := make([]end, len(cl.items))
+	for i := range out {
+		out[i] = e
+	}
+	return out
+}
+
+// ends reads how each item of the call ended.
+func ends(cl *call, a *answer) []end {
+	switch a.status {
+	case 200:
+		if len(cl.items) == 1 {
+			return alike(cl, end{outcome: policy.Delivered}) // the body means nothing
+		}
+		return manyEnds(cl, a.body)
+	case 429:
+		return alike(cl, end{outcome: policy.Rejected})
+	case 503:
+		if a.get("Slots-Taken") == "1" {
+			return alike(cl, end{outcome: policy.Unsent})
+		}
+		return alike(cl, end{outcome: policy.Rejected})
+	case 410:
+		return alike(cl, end{outcome: policy.Unsent, over: true})
+	case 400, 404, 413, 504:
+		return alike(cl, end{outcome: policy.Unsent})
+	}
+	return alike(cl, end{outcome: policy.Errored})
+}
+
+var states = map[string]end{
+	"ok": {outcome: policy.Delivered}, "error": {outcome: policy.Errored}, "later": {outcome: policy.Rejected},
+	"gone": {outcome: policy.Unsent, over: true}, "exhausted": {outcome: policy.Unsent},
+}
+
+// manyEnds reads the answer to several. What it does not name may have run.
+func manyEnds(cl *call, body []byte) []end {
+	out := alike(cl, end{outcome: policy.Errored})
+	if !gjson.ValidBytes(body) {
+		return out
+	}
+	told := map[string]end{}
+	for _, v := range gjson.ParseBytes(body).Array() {
+		if e, ok := states[v.Get("state").Str]; ok {
+			told[v.Get("id").Str] = e
+		}
+	}
+	for i := range cl.items {
+		if e, ok := told[cl.items[i].id]; ok {
+			out[i] = e
+		}
+	}
+	return out
+}
+
+// loadReport reads a line like x0=0.4,x1=25; nil where it tells no limit.
+func loadReport(s string) *policy.Report {
+	if s == "" {
+		return nil
+	}
+	var rep policy.Report
+	told := false
+	for _, part := range strings.Split(s, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0":
+			rep.Left = v
+		case "x1":
+			rep.Limit, told = v, true
+		}
+	}
+	if !told {
+		return nil
+	}
+	return &rep
+}
+
+// appendCall writes the request: of one message as it came, of several as a JSON array.
+func appendCall(b []byte, cl *call) []byte {
+	left := strconv.FormatInt(max(1, cl.timeout.Milliseconds()), 10)
+	if len(cl.items) == 1 {
+		it := &cl.items[0]
+		b = append(b, "POST /hook HTTP/1.1\r\n"...)
+		b = appendField(appendField(b, "Host", cl.ep.addr), "X-Correlation-Id", it.id)
+		if it.key != "" {
+			b = appendField(b, "Idempotency-Key", it.key)
+		}
+		b = appendLength(appendField(b, "X-Time-Left-Ms", left), len(it.body))
+		return append(b, it.body...)
+	}
+	body := []byte{'['}
+	for i := range cl.items {
+		it := &cl.items[i]
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = gjson.AppendJSONString(append(body, `{"id":`...), it.id)
+		if it.key != "" {
+			body = gjson.AppendJSONString(append(body, `,"key":`...), it.key)
+		}
+		body = base64.StdEncoding.AppendEncode(append(body, `,"body":"`...), it.body)
+		body = append(body, `"}`...)
+	}
+	body = append(body, ']')
+	b = append(b, "POST /hook/batch HTTP/1.1\r\n"...)
+	b = appendField(appendField(b, "Host", cl.ep.addr), "Content-Type", "application/json")
+	b = appendLength(appendField(b, "X-Time-Left-Ms", left), len(body))
+	return append(b, body...)
+}
+
+// stale tells, without waiting, whether an idle connection was closed by the peer or holds bytes that
+// nobody asked for.
+func stale(sock net.Conn) bool {
+	sc, ok := sock.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN
+		return true
+	})
+	return err != nil || !quiet
+}
--- a/internal/wire/sim/host.go
+++ b/internal/wire/sim/host.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"oatfold/internal/daemon/config"
 	"oatfold/policy"
 )
 
@@ -113,7 +114,7 @@
 }
 
 func (h *Host) boot(id int, e *Event) error {
-	settings, columns, err := ParseSettings(e.Info)
+	settings, columns, err := config.ParseSettings(string(e.Info))
 	if err != nil {
 		return err
 	}
--- a/internal/wire/sim/wire_test.go
+++ b/internal/wire/sim/wire_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"oatfold/internal/daemon/config"
 	"oatfold/policy"
 )
 
@@ -198,7 +199,7 @@
 		"no such column": {`["cpu"]`, `[0.5]`, nil},
 		"no columns":     {`[]`, `[0.5,40]`, nil},
 	} {
-		_, columns, err := ParseSettings(json.RawMessage(`{"stats":{"columns":` + c.columns + `,"source":"inline"}}`))
+		_, columns, err := config.ParseSettings(`{"stats":{"columns":` + c.columns + `,"source":"inline"}}`)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/policy/api.go
+++ b/policy/api.go
@@ -105,6 +105,11 @@
 	Key         string // ordered classes: what the message is about
 	Destination int
 	Left        time.Duration // how long it may still be delivered
+
+	// Of a message that an earlier life of this relay left behind:
+	Tries   int           // attempts made
+	MayHave bool          // one of them may have run
+	RiskAge time.Duration // time since the first such attempt was sent
 }
 
 // Outcome is how an attempt ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -196,7 +196,8 @@
 	d := r.dest(e.Destination)
 	d.demand, d.lastIn = r.average(d.demand, d.lastIn), r.now
 	m := &message{id: e.ID, class: c, dest: d, arrived: r.now,
-		deadline: r.now + e.Left, aimAt: r.now + e.Left - c.Deadline + c.Aim}
+		deadline: r.now + e.Left, aimAt: r.now + e.Left - c.Deadline + c.Aim,
+		tries: e.Tries, mayHave: e.MayHave, firstRisk: r.now - e.RiskAge}
 	r.msgs[m.id], r.held = m, append(r.held, m)
 	if c.Ordered && e.Key != "" {
 		k := r.keys[e.Key]
