--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,8 +19,8 @@
 // The course of a planned stop, from SIGTERM on. SIGKILL follows after 3.7 s at the earliest.
 const (
 	serveOn  = 450 * time.Millisecond  // new connections keep coming for so long
-	stepOn   = 2200 * time.Millisecond // then no route step begins
-	leaveBy  = 3300 * time.Millisecond // what is out by then may have run
+	stepOn   = 2000 * time.Millisecond // then no route step begins
+	leaveBy  = 3450 * time.Millisecond // what is out by then may have run
 	lookTurn = 20 * time.Millisecond
 )
 
@@ -38,7 +38,7 @@
 		return fmt.Errorf("ROUTER_STATE: %w", err)
 	}
 	defer journal.Close()
-	host, err := wire.NewHost(wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout,
+	host, err := wire.NewHost(wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout, IdleMost: c.Sockets / 4,
 		Known: c.Known, Table: table, Journal: journal, Log: log})
 	if err != nil {
 		return err
--- a/internal/memory/table.go
+++ b/internal/memory/table.go
@@ -19,6 +19,7 @@
 
 	Steps  int       // route steps begun, also in earlier lives
 	RiskAt time.Time // when the first step that may have run began; zero: none
+	New    bool      // its client has not been answered yet
 	Out    *Out      // the step that is out
 	Owed   *Notice   // the notice that is still to be taken by the platform
 }
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -151,6 +151,9 @@
 func (f *Front) enter(c *frontConn, s frontState) {
 	f.mu.Lock()
 	c.state, c.since = s, time.Now()
+	if s == frontIdle {
+		f.free.Signal() // the accept loop may wait for one that can give way
+	}
 	f.mu.Unlock()
 }
 
@@ -168,12 +171,13 @@
 	}()
 	r := bufio.NewReaderSize(c.sock, maxLine)
 	for {
-		if _, err := r.Peek(1); err != nil {
+		if _, err := r.Peek(1); err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && waiting(c.sock)) {
 			return // closed by the client, or by us while idle: nothing was read
 		}
+		// Guards against closing an idle connection on which a request has just come in: it is answered.
 		f.enter(c, frontBusy)
 		c.sock.SetReadDeadline(time.Now().Add(readLimit))
-		if !f.one(c.sock, r) || f.closing.Load() {
+		if !f.one(c.sock, r, time.Now()) || f.closing.Load() {
 			return
 		}
 		f.enter(c, frontIdle)
@@ -184,7 +188,7 @@
 }
 
 // one reads and answers one request; it tells whether the connection goes on.
-func (f *Front) one(sock net.Conn, r *bufio.Reader) bool {
+func (f *Front) one(sock net.Conn, r *bufio.Reader, began time.Time) bool {
 	h, err := readHead(r)
 	if err != nil {
 		return f.bad(sock, r, err)
@@ -200,7 +204,6 @@
 	if strings.EqualFold(h.get("Expect"), "100-continue") {
 		sock.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	began := time.Now()
 	body, err := readBody(r, length, chunked, maxBody)
 	if err != nil {
 		return f.bad(sock, r, err)
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"encoding/base64"
 	"log/slog"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -13,6 +15,10 @@
 	eventRoom  = 1024
 	idleShare  = 0.8 // of the time after which an idle connection is closed by the other side
 	upkeepTurn = time.Second
+
+	// The known list may be old: what discovery's agent has by now counts as told to us, so that the first
+	// step waits a moment for its answer. Guards against sends to endpoints that left while we were down.
+	listPatience = 300 * time.Millisecond
 )
 
 // Host carries the decision module: one goroutine owns the module, the message table and the journal;
@@ -39,8 +45,10 @@
 	lastStep  policy.Time
 	wakeAt    policy.Time // 0: none asked for
 	upkeepAt  policy.Time
-	quiet     bool // no further steps: the rest stays in the journal
-	refused   int  // hand-ins turned away since the last log line
+	firstBy   policy.Time // the first step waits until then for the pool config
+	quiet     bool        // no further steps: the rest stays in the journal
+	idleMost  int         // connections to endpoints that may stand idle
+	refused   int         // hand-ins turned away since the last log line
 }
 
 // HostConfig is what a host is made from.
@@ -48,6 +56,7 @@
 	Settings       policy.Settings
 	Seed           int64
 	ConnectTimeout time.Duration
+	IdleMost       int // connections to endpoints that may stand idle
 	Known          memory.PoolConfig
 	Table          *memory.Table
 	Journal        *memory.Journal
@@ -61,7 +70,7 @@
 		return nil, err
 	}
 	h := &Host{set: c.Settings, relay: relay, table: c.Table, journal: c.Journal, log: c.Log,
-		dialTimeout: c.ConnectTimeout, start: time.Now(), events: make(chan any, eventRoom),
+		dialTimeout: c.ConnectTimeout, idleMost: c.IdleMost, start: time.Now(), events: make(chan any, eventRoom),
 		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{},
 		calls: map[*call]struct{}{}, kindBatch: map[string]int{}, kinds: map[int]string{}}
 	for _, k := range c.Settings.Kinds {
@@ -69,7 +78,8 @@
 	}
 	h.lastStep = -c.Settings.Tick
 	h.poolNews(c.Known, policy.ListRestored)
-	h.restore()
+	h.firstBy = listPatience
+	h.restore(false)
 	return h, nil
 }
 
@@ -84,8 +94,9 @@
 
 func (h *Host) now() policy.Time { return time.Since(h.start) }
 
-// restore hands what an earlier life left to the module, in the order in which it was taken on.
-func (h *Host) restore() {
+// restore hands what an earlier life left to the module, in the order in which it was taken on; notices are
+// owed from the first time on.
+func (h *Host) restore(again bool) {
 	var all []*memory.Message
 	for _, m := range h.table.All() {
 		all = append(all, m)
@@ -94,9 +105,14 @@
 	open := 0
 	for _, m := range all {
 		if m.Owed != nil {
-			h.owe(m)
+			if !again {
+				h.owe(m)
+			}
 			continue
 		}
+		if m.Out != nil || m.New {
+			continue // its call's end, or its client's answer, will bring it
+		}
 		open++
 		h.arrivals = append(h.arrivals, m)
 	}
@@ -135,7 +151,7 @@
 		if h.wakeAt > 0 && now >= h.wakeAt {
 			h.wakeAt, h.pending = 0, append(h.pending, policy.Woke{})
 		}
-		if h.due() && now-h.lastStep >= h.set.Tick {
+		if h.due() && now >= h.stepAt() {
 			h.step(now)
 		}
 		if now >= h.upkeepAt {
@@ -148,14 +164,17 @@
 
 func (h *Host) due() bool { return !h.quiet && len(h.pending)+len(h.arrivals) > 0 }
 
+// stepAt is when the next step may come.
+func (h *Host) stepAt() policy.Time { return max(h.lastStep+h.set.Tick, h.firstBy) }
+
 // next is when the loop has to look again without an event.
 func (h *Host) next() policy.Time {
 	at := h.upkeepAt
 	if h.due() {
-		at = min(at, h.lastStep+h.set.Tick)
+		at = min(at, h.stepAt())
 	}
 	if h.wakeAt > 0 && !h.quiet {
-		at = min(at, h.wakeAt)
+		at = min(at, max(h.wakeAt, h.stepAt()))
 	}
 	for cl := range h.calls {
 		for i := range cl.items {
@@ -178,7 +197,7 @@
 		if m := h.table.Get(e.num); m == nil {
 			return
 		} else if e.told {
-			h.arrivals = append(h.arrivals, m)
+			m.New, h.arrivals = false, append(h.arrivals, m)
 		} else {
 			h.over(m) // the client never heard of it, and may hand it in again
 		}
@@ -189,6 +208,7 @@
 		if e.Whole {
 			kind = policy.ListWhole
 		}
+		h.firstBy = 0
 		h.poolNews(e.PoolConfig, kind)
 	case noticed:
 		for _, num := range e.nums {
@@ -210,7 +230,7 @@
 	}
 	err := error(nil)
 	if h.table.Live() < h.set.MaxHeld {
-		e.msg.Num = h.table.Next()
+		e.msg.Num, e.msg.New = h.table.Next(), true
 		if err = h.journal.Taken(h.table, e.msg); err == nil {
 			return verdict{taken: true}
 		}
@@ -219,7 +239,7 @@
 	h.refused++
 	v := verdict{}
 	if h.set.RetryAdvice {
-		v.retry = h.set.MaxRetryAdvice / 2
+		v.retry = h.set.MaxRetryAdvice
 	}
 	return v
 }
@@ -272,7 +292,11 @@
 	}
 	events := h.pending
 	h.pending, h.arrivals, h.lastStep = nil, nil, now
-	acts := h.relay.Step(now, events)
+	acts, ok := h.decide(now, events)
+	if !ok {
+		h.rebuild(now)
+		return
+	}
 	var calls []*call
 	open := map[string]*call{}
 	for _, a := range acts {
@@ -298,6 +322,41 @@
 	}
 }
 
+// decide runs one step of the module; a panic there is not the process's end.
+func (h *Host) decide(now policy.Time, events []policy.Event) (acts []policy.Action, ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.log.Error("the module panicked and starts anew", "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	return h.relay.Step(now, events), true
+}
+
+// rebuild starts the module anew with what the table holds, as after a restart, once all told waits are over.
+// A message whose call is out is handed over when the call has ended.
+func (h *Host) rebuild(now policy.Time) {
+	relay, err := policy.New(h.set, now.Nanoseconds())
+	if err != nil {
+		return // the settings were good at the start
+	}
+	h.relay, h.wakeAt, h.pending, h.arrivals = relay, 0, nil, nil
+	whole := policy.ListNews{Kind: policy.ListRestored}
+	for _, ep := range h.endpoints {
+		whole.Entries = append(whole.Entries, policy.Endpoint{Address: ep.id, Destination: ep.dest,
+			Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate})
+	}
+	h.pending = append(h.pending, whole)
+	for _, g := range h.gates {
+		h.firstBy = max(h.firstBy, now+time.Until(time.Unix(0, g.until.Load())))
+	}
+	for cl := range h.calls {
+		for i := range cl.items {
+			cl.items[i].ended, cl.items[i].anew = true, true
+		}
+	}
+	h.restore(true)
+}
+
 // send adds a message to the call that the step makes to its endpoint, up to the kind's batch. What can't be
 // sent ends as unsent, with the next step.
 func (h *Host) send(now policy.Time, wall time.Time, a policy.Send, open map[string]*call, calls []*call) []*call {
@@ -313,6 +372,15 @@
 		return calls
 	}
 	cl := open[a.Endpoint]
+	if cl != nil && len(cl.items) < h.kindBatch[h.kinds[m.Dest]] && cl.size+itemSize(m) > maxBody {
+		// Guards against a batch whose body is longer than any body may be: it takes a slot of its own, if
+		// there is one.
+		if cl = nil; len(h.calls)+len(calls) >= h.set.Slots {
+			h.pending = append(h.pending, policy.Ended{ID: m.Num, Attempt: m.Steps, Endpoint: a.Endpoint, Outcome: policy.Unsent})
+			m.Steps++
+			return calls
+		}
+	}
 	if cl == nil || len(cl.items) >= max(1, h.kindBatch[h.kinds[m.Dest]]) {
 		cl = &call{ep: ep, began: now}
 		open[a.Endpoint], calls = cl, append(calls, cl)
@@ -324,10 +392,15 @@
 		it.until = now + left
 	}
 	cl.timeout = max(cl.timeout, a.Timeout)
-	cl.items = append(cl.items, it)
+	cl.items, cl.size = append(cl.items, it), cl.size+itemSize(m)
 	return calls
 }
 
+// itemSize bounds what a message adds to a batch's body.
+func itemSize(m *memory.Message) int {
+	return base64.StdEncoding.EncodedLen(len(m.Body)) + 6*(len(m.ID)+len(m.Key)) + len(`{"id":"","key":"","body":""},[]`)
+}
+
 // begin records the call and gives it to a connection.
 func (h *Host) begin(cl *call, wall time.Time) {
 	msgs := make([]*memory.Message, len(cl.items))
@@ -359,6 +432,7 @@
 			close(e.conn.calls)
 		} else {
 			e.conn.ep.idle = append(e.conn.ep.idle, e.conn)
+			h.spare()
 		}
 	}
 	if e.err != nil && h.log.Enabled(nil, slog.LevelDebug) {
@@ -390,6 +464,9 @@
 			h.over(m)
 		}
 	}
+	if it.anew && m != nil && m.Owed == nil && h.table.Get(it.num) != nil {
+		h.arrivals = append(h.arrivals, m)
+	}
 	if it.ended {
 		return
 	}
@@ -461,6 +538,7 @@
 		ep = &endpoint{id: mb.Address, addr: mb.HostPort, dest: mb.Destination, gate: g}
 		h.endpoints[mb.Address] = ep
 	}
+	ep.zone, ep.rate = mb.Zone, mb.Rate
 	ep.state.Store(int32(mb.State))
 	h.kinds[mb.Destination] = mb.Kind
 }
@@ -485,6 +563,21 @@
 	ep.idle = nil
 }
 
+// spare bounds the descriptors that idle connections hold: past the bound the one that was used longest ago
+// is closed.
+func (h *Host) spare() {
+	n, oldest := 0, (*endpoint)(nil)
+	for _, ep := range h.endpoints {
+		if n += len(ep.idle); len(ep.idle) > 0 && (oldest == nil || ep.idle[0].usedAt.Before(oldest.idle[0].usedAt)) {
+			oldest = ep
+		}
+	}
+	if n > h.idleMost {
+		close(oldest.idle[0].calls)
+		oldest.idle = oldest.idle[1:]
+	}
+}
+
 // --- upkeep, start and stop ---
 
 // upkeep closes connections well before the other side would.
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -70,7 +70,8 @@
 	return string(b), nil
 }
 
-// readHead reads a first line and its header. Errors of the connection come through as they are.
+// readHead reads a first line and its header. Errors of the connection come through as they are; the head is
+// returned beside an error if its first line was read whole.
 func readHead(r *bufio.Reader) (*head, error) {
 	left := maxHead
 	line, err := readLine(r, &left)
@@ -86,20 +87,17 @@
 	for {
 		line, err := readLine(r, &left)
 		if err != nil {
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, err
+			return h, short(err)
 		}
 		if line == "" {
 			return h, nil
 		}
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || !token(name) || strings.ContainsAny(value, "\r\x00") {
-			return nil, errHeader
+			return h, errHeader
 		}
 		if len(h.fields) == maxFields {
-			return nil, errHead
+			return h, errHead
 		}
 		h.fields = append(h.fields, field{name, strings.Trim(value, " \t")})
 	}
@@ -230,19 +228,23 @@
 	keep   bool // the connection can carry another call
 }
 
-// readStatus reads the head of a response; interim ones are passed over.
+// readStatus reads the head of a response; interim ones are passed over. The answer is returned beside an
+// error if its first line was read whole.
 func readStatus(r *bufio.Reader) (*answer, error) {
 	for {
 		h, err := readHead(r)
-		if err != nil {
+		if h == nil {
 			return nil, err
 		}
-		n, err := number(h.line[1])
-		if err != nil || n < 100 || n > 999 || !strings.HasPrefix(h.line[0], "HTTP/1.") {
+		n, bad := number(h.line[1])
+		if bad != nil || n < 100 || n > 999 || !strings.HasPrefix(h.line[0], "HTTP/1.") {
 			return nil, errLine
 		}
 		if n >= 200 {
-			return &answer{head: *h, status: n}, nil
+			return &answer{head: *h, status: n}, err
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
 }
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -79,6 +79,8 @@
 type endpoint struct {
 	id, addr string
 	dest     int
+	zone     string
+	rate     float64
 	state    atomic.Int32 // policy.EndpointState
 	gate     *gate
 	idle     []*routeConn // last used last
@@ -92,12 +94,14 @@
 	body    []byte
 	until   policy.Time // when its own time is up
 	ended   bool        // its end was told to the module
+	anew    bool        // the module started anew since: it is told of the message instead
 }
 
 // call is one route step on its way: one message, or several of one step to one endpoint.
 type call struct {
 	ep       *endpoint
 	items    []item
+	size     int // bytes that the body of a batch takes, at most
 	began    policy.Time
 	timeout  time.Duration
 	deadline time.Time
@@ -198,18 +202,29 @@
 	}
 	stage = Written
 	a, err := readStatus(c.r)
+	if a != nil {
+		stage = Answered
+	}
+	single := len(cl.items) == 1
 	if err != nil {
-		fail(err)
+		if fail(err); a != nil && a.status == 200 && single {
+			// Guards against failing, or sending again, what a first line with 200 has delivered.
+			res.ends = alike(cl, end{outcome: policy.Delivered})
+		}
 		return res
 	}
-	stage = Answered
+	whole := a.status == 200 && !single // the only answer whose body tells something
+	if !whole {
+		// Guards against an answer that never ends: its first line has told all, and the slot is free.
+		c.sock.SetReadDeadline(earlier(cl.deadline, time.Now().Add(restLimit)))
+	}
 	rest := a.readRest(c.r)
 	if w, err := number(a.get("Wait-Ms")); err == nil && w > 0 {
 		res.wait = time.Duration(w) * time.Millisecond
 		cl.ep.gate.hold(res.wait)
 	}
 	res.report = loadReport(a.get("X-Backend-Load"))
-	if rest != nil && (a.status != 200 || len(cl.items) > 1) {
+	if rest != nil && whole {
 		fail(rest)
 		return res
 	}
@@ -218,6 +233,16 @@
 	return res
 }
 
+// restLimit is how long the rest of an answer may take whose head has told all.
+const restLimit = 250 * time.Millisecond
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func alike(cl *call, e end) []end {
 	out := make([]end, len(cl.items))
 	for i := range out {
@@ -336,20 +361,30 @@
 // stale tells, without waiting, whether an idle connection was closed by the peer or holds bytes that
 // nobody asked for.
 func stale(sock net.Conn) bool {
+	_, err := peek(sock)
+	return err != syscall.EAGAIN
+}
+
+// waiting tells, without waiting, whether bytes of the peer are there to be read.
+func waiting(sock net.Conn) bool {
+	n, err := peek(sock)
+	return err == nil && n > 0
+}
+
+func peek(sock net.Conn) (n int, err error) {
 	sc, ok := sock.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	if e := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN
-		return true
-	})
-	return err != nil || !quiet
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); e != nil {
+		return 0, e
+	}
+	return n, err
 }
