--- /dev/null
+++ b/cmd/oatfold/main_test.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http" // an independent peer for the tests; the program has its own parsers
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The test binary is the program when it is started so: the restarts here are those of real processes.
+func TestMain(m *testing.M) {
+	if os.Getenv("OATFOLD_AS_PROGRAM") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// site is what lies round the relay: discovery with one endpoint, which answers as told.
+type site struct {
+	sync.Mutex
+	t        *testing.T
+	state    string
+	listen   string
+	agent    *httptest.Server
+	endpoint *httptest.Server
+	hold     chan struct{}     // while it is open, the endpoint does not answer
+	calls    map[string]int    // by message
+	keys     map[string]string // idempotency keys seen
+	notices  []string
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, state: t.TempDir(), hold: make(chan struct{}), calls: map[string]int{}, keys: map[string]string{}}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.listen = ln.Addr().String()
+	ln.Close()
+	s.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		s.Lock()
+		id := r.Header.Get("X-Correlation-Id")
+		s.calls[id]++
+		s.keys[id] = r.Header.Get("Idempotency-Key")
+		hold := s.hold
+		s.Unlock()
+		<-hold
+	}))
+	end := make(chan struct{})
+	s.agent = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		if r.Method == "POST" {
+			s.Lock()
+			s.notices = append(s.notices, strings.Fields(string(b))...)
+			s.Unlock()
+			w.WriteHeader(204)
+		} else if r.URL.Query().Has("from") {
+			<-end
+		} else {
+			fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[{"instanceId":"s-1","hostPort":%q,"zone":"porto-dc1",
+				"machineType":"small-partner","cell":7,"lifecycle":"in_service","weight":1,"startedAtMs":0}]}`, s.endpoint.Listener.Addr())
+		}
+	}))
+	t.Cleanup(func() {
+		close(end)
+		s.release()
+		for _, srv := range []*httptest.Server{s.agent, s.endpoint} {
+			srv.CloseClientConnections()
+			srv.Close()
+		}
+	})
+	return s
+}
+
+// release lets the endpoint answer from now on.
+func (s *site) release() {
+	s.Lock()
+	defer s.Unlock()
+	select {
+	case <-s.hold:
+	default:
+		close(s.hold)
+	}
+}
+
+func (s *site) until(what string, ok func() bool) {
+	s.t.Helper()
+	for range 20_000 { // a bound for a hang, not a measure
+		s.Lock()
+		done := ok()
+		s.Unlock()
+		if done {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("waited in vain for %s: calls %v, notices %v", what, s.calls, s.notices)
+}
+
+// start runs the relay until it is ready.
+func (s *site) start() *exec.Cmd {
+	s.t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "OATFOLD_AS_PROGRAM=1", "ROUTER_LISTEN="+s.listen, "ROUTER_STATE="+s.state,
+		"ROUTER_DISCOVERY="+s.agent.Listener.Addr().String(), "ROUTER_CONFIG="+filepath.Join("..", "..", "internal", "daemon", "config", "testdata", "config.json"))
+	cmd.Stderr = s.t.Output()
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { cmd.Process.Kill() })
+	s.until("the relay to be ready", func() bool { return s.ask("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n") == "200" })
+	return cmd
+}
+
+// ask sends one request on a new connection and returns the status.
+func (s *site) ask(request string) string {
+	c, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	return askOn(c, request)
+}
+
+func askOn(c net.Conn, request string) string {
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, request)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(res.StatusCode)
+}
+
+func hand(class, id, dest string, left int) string {
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nX-Correlation-Id: %s\r\nIdempotency-Key: key-%s\r\nX-Time-Left-Ms: %d\r\nEnvelope: dest=%s\r\nContent-Length: 2\r\n\r\nhi",
+		class, id, id, left, dest)
+}
+
+func (s *site) take(requests ...string) {
+	s.t.Helper()
+	for _, r := range requests {
+		if got := s.ask(r); got != "202" {
+			s.t.Fatalf("answered %s", got)
+		}
+	}
+}
+
+func (s *site) told(id, outcome string) bool {
+	return slices.ContainsFunc(s.notices, func(n string) bool { return strings.Contains(n, `"`+id+`"`) && strings.Contains(n, outcome) })
+}
+
+// After SIGKILL: what was out and must not run twice is given up and never sent again; what may be repeated
+// goes again under its key; what ran out of time meanwhile gets its notice; nothing is lost.
+func TestKilledOutright(t *testing.T) {
+	s := newSite(t)
+	cmd := s.start()
+	s.take(hand("fee-charge", "fee", "7", 19000), hand("order-relay", "order", "7", 19000))
+	s.until("both calls", func() bool { return s.calls["fee"] == 1 && s.calls["order"] == 1 })
+	s.take(hand("fee-charge", "nowhere", "99", 19000), hand("price-alert", "late", "99", 1500))
+	cmd.Process.Kill()
+	cmd.Wait()
+	s.release()
+	time.Sleep(1600 * time.Millisecond) // the time of "late" is up before the relay is back
+	s.start()
+	s.until("all ends but one", func() bool { return s.calls["order"] == 2 && s.told("fee", "given_up") && s.told("late", "") })
+	if s.calls["fee"] != 1 || s.keys["order"] != "key-order" || s.told("order", "") || s.told("nowhere", "") {
+		t.Errorf("calls %v, keys %v, notices %v", s.calls, s.keys, s.notices)
+	}
+}
+
+// After SIGTERM: connections are served on for a moment, the call that is out is finished, the rest is left to the next start,
+// the exit is clean.
+func TestPlannedStop(t *testing.T) {
+	s := newSite(t)
+	cmd := s.start()
+	kept, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	s.take(hand("fee-charge", "fee", "7", 19000), hand("price-alert", "nowhere", "99", 6000))
+	s.until("the call", func() bool { return s.calls["fee"] == 1 })
+	cmd.Process.Signal(syscall.SIGTERM)
+	if got := askOn(kept, hand("fee-charge", "more", "7", 19000)); got != "202" {
+		t.Errorf("after SIGTERM a kept connection was answered %s", got)
+	}
+	s.release()
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+	if s.calls["fee"] != 1 || s.told("fee", "") {
+		t.Errorf("calls %v, notices %v", s.calls, s.notices)
+	}
+	s.start()
+	s.until("the rest to end", func() bool { return s.calls["more"] == 1 && s.told("nowhere", "handed_back") })
+	if s.calls["fee"] != 1 || s.told("fee", "") || s.told("more", "") {
+		t.Errorf("calls %v, notices %v", s.calls, s.notices)
+	}
+}
+
+// What is told wrong ends the start with one line that names the key.
+func TestBadConfigurationIsNamed(t *testing.T) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "OATFOLD_AS_PROGRAM=1", "ROUTER_STATE=/nonexistent")
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "ROUTER_STATE") || strings.Count(string(out), "\n") != 1 {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- /dev/null
+++ b/internal/daemon/config/config_test.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+func load(t *testing.T, change func(string) string, env map[string]string) (*Config, error) {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join("testdata", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, []byte(change(string(raw))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(name string) string {
+		if v, ok := env[name]; ok {
+			return v
+		}
+		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_STATE": dir}[name]
+	})
+}
+
+func as(s string) string { return s }
+
+// The whole configuration is read; the environment goes before the file; what is left out has a default.
+func TestLoad(t *testing.T) {
+	c, err := load(t, as, map[string]string{"ROUTER_LISTEN": "127.0.0.1:9"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Listen != "127.0.0.1:9" || c.Discovery != "127.0.0.1:1" || c.MemoryBytes != 192e6 || c.DiskBytes != 3e6 ||
+		c.ConnectTimeout != 1500*time.Millisecond || c.Settings.Slots != 4 || len(c.Settings.Classes) != 3 ||
+		c.Settings.Classes[1].Window != 5*time.Second || c.Settings.Kinds[0].Batch != 5 || c.Seed == 0 {
+		t.Errorf("%+v", c)
+	}
+	c, err = load(t, func(s string) string {
+		return `{"listen":"127.0.0.1:9","discovery":"127.0.0.1:1","settings":` + gjson.Get(s, "settings").Raw + `}`
+	}, nil)
+	if err != nil || c.MemoryBytes != defaultMemoryMB*megabyte || c.Sockets != defaultSockets || c.DiskBytes != defaultDiskMB*megabyte {
+		t.Errorf("defaults: %+v, %v", c, err)
+	}
+}
+
+// Each message names the key at fault.
+func TestErrorsNameTheKey(t *testing.T) {
+	put := func(old, new string) func(string) string {
+		return func(s string) string {
+			if !strings.Contains(s, old) {
+				t.Fatalf("%q is not in the file", old)
+			}
+			return strings.Replace(s, old, new, 1)
+		}
+	}
+	for says, c := range map[string]struct {
+		change func(string) string
+		env    map[string]string
+	}{
+		"ROUTER_CONFIG":                     {as, map[string]string{"ROUTER_CONFIG": "/nonexistent"}},
+		"ROUTER_STATE is not set":           {as, map[string]string{"ROUTER_STATE": ""}},
+		"ROUTER_STATE: \"/nonexistent\"":    {as, map[string]string{"ROUTER_STATE": "/nonexistent"}},
+		"not JSON":                          {put("{", ""), nil},
+		"listen":                            {put("127.0.0.1:0", "nowhere"), nil},
+		"discovery":                         {put("127.0.0.1:1", "nowhere"), nil},
+		"seed":                              {put("8c1f30d27a5be964", "xyz"), nil},
+		"limits.memory_mb":                  {put("\"memory_mb\": 192", "\"memory_mb\": -1"), nil},
+		"limits.sockets":                    {put("1024", "\"many\""), nil},
+		"limits.disk_mb":                    {put("\"disk_mb\": 3", "\"disk_mb\": 0"), nil},
+		"known: pool config: generation":    {put("\"generation\": 0", "\"generation\": null"), nil},
+		"settings.policyLimits.connectTime": {put("1500000", "\"x\""), nil},
+		"settings: missing":                 {put("\"settings\"", "\"other\""), nil},
+		"familyInfo.callSlots":              {put("\"callSlots\": 4", "\"callSlots\": \"x\""), nil},
+		"unknown effect \"odd\"":            {put("\"unsafe\"", "\"odd\""), nil},
+	} {
+		if _, err := load(t, c.change, c.env); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("error %v, want one with %q", err, says)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/front_test.go
@@ -0,0 +1,274 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"oatfold/policy"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func testSettings() policy.Settings {
+	return policy.Settings{Senders: 1, Slots: 4, MaxHeld: 8, MaxAttempts: 6, RetryAdvice: true, MaxRetryAdvice: 3 * time.Second,
+		Tick: time.Millisecond, ConnIdle: 15 * time.Second, ColdFrom: 0.2, ColdTime: time.Second, OverloadFactor: 2,
+		OverloadTime: 3 * time.Second, Classes: []policy.Class{
+			{Name: "alert", Effect: policy.Safe, Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
+			{Name: "order", Effect: policy.Keyed, Window: 5 * time.Second, Aim: 3 * time.Second, Deadline: 20 * time.Second, Worth: 2},
+			{Name: "fee", Effect: policy.Unsafe, Aim: 3 * time.Second, Deadline: 20 * time.Second, Worth: 5}},
+		Kinds: []policy.Kind{{Name: "broker", Batch: 5}, {Name: "small", Batch: 1}}, Zones: []policy.Zone{{Name: "z"}}}
+}
+
+// listen opens a loopback socket that closes with the test.
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func dial(t testing.TB, ln net.Listener) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second)) // a bound for a hang, not a measure
+	return c, bufio.NewReader(c)
+}
+
+// waitFor waits for something that must come, with a bound for a hang only.
+func waitFor(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for range 20_000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+// fakeHost takes hand-ins as a host with so much room would.
+type fakeHost struct {
+	sync.Mutex
+	room         int
+	taken, begun int
+	events       chan any
+	last         string
+	known        map[string]bool
+}
+
+func startFront(t testing.TB, room, most int) (*Front, *fakeHost, net.Listener) {
+	h := &fakeHost{room: room, events: make(chan any), known: map[string]bool{}}
+	ln, set := listen(t), testSettings()
+	f := NewFront(ln, &set, most, h.events, quiet)
+	done := make(chan struct{})
+	t.Cleanup(func() { f.Drain(); close(done) })
+	go f.Serve()
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case e := <-h.events:
+				h.Lock()
+				switch e := e.(type) {
+				case handIn:
+					v := verdict{known: h.known[e.msg.ID], retry: time.Second}
+					if !v.known && h.taken < h.room {
+						h.taken, h.last, h.known[e.msg.ID], v = h.taken+1, string(e.msg.Body), true, verdict{taken: true}
+					}
+					e.reply <- v
+				case handedIn:
+					h.begun++
+				}
+				h.Unlock()
+			}
+		}
+	}()
+	return f, h, ln
+}
+
+func good(id, body string) string {
+	return fmt.Sprintf("POST /alert HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Time-Left-Ms: 480\r\nEnvelope: dest=7\r\nContent-Length: %d\r\n\r\n%s",
+		id, len(body), body)
+}
+
+// The model of a client's connection: what a request is answered with, and whether the connection goes on.
+// Random steps are checked against it.
+func FuzzFront(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7}, uint8(3))
+	f.Add([]byte{1, 1, 8, 1, 9, 1, 10, 1, 11, 1, 12, 13, 1, 14, 1, 15}, uint8(1))
+	f.Add([]byte{23, 1, 22, 1, 21, 5, 20, 19, 18}, uint8(90))
+	f.Add([]byte{1, 16, 17, 1, 18, 19, 20, 1, 1, 1, 1, 1, 1}, uint8(255))
+	f.Fuzz(func(t *testing.T, steps []byte, split uint8) {
+		const room = 4
+		front, host, ln := startFront(t, room, 10)
+		front.Ready(true)
+		var c net.Conn
+		var r *bufio.Reader
+		taken, ids := 0, 0
+		for _, s := range steps[:min(len(steps), 24)] {
+			if c == nil {
+				c, r = dial(t, ln)
+			}
+			ids++
+			id := fmt.Sprint("m", ids)
+			type step struct {
+				send   string
+				status int
+				open   bool
+			}
+			post := func(line, with string) string {
+				req := good(id, "body")
+				if line != "" {
+					_, rest, _ := strings.Cut(req, "\r\n")
+					req = line + "\r\n" + rest
+				}
+				return strings.Replace(req, "\r\n\r\n", "\r\n"+with+"\r\n", 1)
+			}
+			drop := func(name string) string { return strings.Replace(good(id, "body"), name, "X-Other", 1) }
+			accepted := 202
+			if taken >= room {
+				accepted = 503
+			}
+			model := []step{
+				{"GET /ready HTTP/1.1\r\n\r\n", 200, true},
+				{good(id, "body"), accepted, true},
+				{post("", "Connection: close\r\n"), accepted, false},
+				{post("POST /alert HTTP/1.0", ""), accepted, false},
+				{post("POST /alert/x?y=1 HTTP/1.1", "X-Repeat: again\r\n"), accepted, true},
+				{strings.Replace(strings.Replace(post("", "Transfer-Encoding: chunked\r\n"), "Content-Length: 4\r\n", "", 1),
+					"\r\n\r\nbody", "\r\n\r\n3;x=1\r\nbod\r\n1\r\ny\r\n0\r\nT: 1\r\n\r\n", 1), accepted, true},
+				{post("POST /nobody HTTP/1.1", ""), 400, true},
+				{drop("X-Correlation-Id"), 400, true},
+				{drop("X-Time-Left-Ms"), 400, true},
+				{strings.Replace(good(id, "body"), "480", "-1", 1), 400, true},
+				{strings.Replace(good(id, "body"), "dest=7", "dest=x", 1), 400, true},
+				{post("POST /order HTTP/1.1", ""), 400, true}, // keyed, without its key
+				{post("POST /order HTTP/1.1", "Idempotency-Key: k\r\n"), accepted, true},
+				{"PUT /alert HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405, true},
+				{"nonsense\r\n\r\n", 400, false},
+				{"POST /alert HTTP/2.0\r\n\r\n", 400, false},
+				{post("", "bad header\r\n"), 400, false},
+				{post("", " folded: x\r\n"), 400, false},
+				{post("", "Content-Length: 5\r\n"), 400, false},
+				{post("", "Transfer-Encoding: chunked\r\n"), 400, false},
+				{fmt.Sprintf("POST /alert HTTP/1.1\r\nContent-Length: %d\r\n\r\n", maxBody+1), 413, false},
+				{"GET /" + strings.Repeat("x", maxLine) + " HTTP/1.1\r\n\r\n", 431, false},
+				{"GET /ready HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", maxFields+1) + "\r\n", 431, false},
+				{good(id, strings.Repeat("b", maxBody)), accepted, true},
+			}
+			m := model[int(s)%len(model)]
+			at := int(split) % len(m.send)
+			io.WriteString(c, m.send[:at])
+			io.WriteString(c, m.send[at:])
+			a, err := readStatus(r)
+			if err == nil {
+				err = a.readRest(r)
+			}
+			if err != nil || a.status != m.status || a.keep != m.open {
+				t.Fatalf("step %d: %.80q: %+v, %v; want %d, open %v", s, m.send, a, err, m.status, m.open)
+			}
+			if (a.status == 503) != (a.get("Retry-After") != "") {
+				t.Fatalf("step %d: %d with advice %q", s, a.status, a.get("Retry-After"))
+			}
+			if a.status == 202 {
+				taken++
+			}
+			if !m.open {
+				if _, err := r.ReadByte(); err != io.EOF {
+					t.Fatalf("step %d: the connection goes on: %v", s, err)
+				}
+				c.Close()
+				c = nil
+			}
+		}
+		front.Drain()
+		waitFor(t, "hand-ins to begin, each told 202 once", func() bool {
+			host.Lock()
+			defer host.Unlock()
+			return front.Busy() == 0 && host.taken == taken && host.begun == taken
+		})
+	})
+}
+
+// A message handed in again under the same id on a new connection is not taken twice.
+func TestSameHandInTwice(t *testing.T) {
+	_, host, ln := startFront(t, 8, 10)
+	for range 2 {
+		c, r := dial(t, ln)
+		io.WriteString(c, good("same", "hello"))
+		if a, err := readStatus(r); err != nil || a.status != 202 {
+			t.Fatalf("%+v, %v", a, err)
+		}
+	}
+	if host.Lock(); host.taken != 1 || host.last != "hello" {
+		t.Errorf("taken %d times, body %q", host.taken, host.last)
+	}
+	host.Unlock()
+}
+
+// A request that crosses the drain is answered or not read at all; one that was begun is always answered.
+func TestDrainAnswersWhatWasBegun(t *testing.T) {
+	front, _, ln := startFront(t, 8, 10)
+	c, r := dial(t, ln)
+	req := good("slow", "hello")
+	io.WriteString(c, req[:20])
+	idle, idleR := dial(t, ln)
+	waitFor(t, "one connection to be busy", func() (busy bool) {
+		front.mu.Lock()
+		defer front.mu.Unlock()
+		for fc := range front.conns {
+			busy = busy || fc.state == frontBusy
+		}
+		return busy && len(front.conns) == 2
+	})
+	front.Drain()
+	if _, err := idleR.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection %v: %v", idle.LocalAddr(), err)
+	}
+	io.WriteString(c, req[20:])
+	if a, err := readStatus(r); err != nil || a.status != 202 || !a.closes("HTTP/1.1") {
+		t.Errorf("%+v, %v", a, err)
+	}
+}
+
+// With all connections taken, the one that has been idle longest gives way to a new one.
+func TestIdleGivesWay(t *testing.T) {
+	front, _, ln := startFront(t, 8, 2)
+	front.Ready(true)
+	ask := func(c net.Conn, r *bufio.Reader) error {
+		io.WriteString(c, "GET /ready HTTP/1.1\r\n\r\n")
+		a, err := readStatus(r)
+		if err == nil {
+			err = a.readRest(r)
+		}
+		return err
+	}
+	var first *bufio.Reader
+	for i := range 4 {
+		c, r := dial(t, ln)
+		if err := ask(c, r); err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		if i == 0 {
+			first = r
+		}
+	}
+	if _, err := first.ReadByte(); err != io.EOF {
+		t.Errorf("the oldest is still open: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/wire/host_test.go
@@ -0,0 +1,387 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http" // an independent peer for the tests; the program has its own parsers
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"oatfold/internal/memory"
+	"oatfold/policy"
+)
+
+// world is what lies round a host: a platform and endpoints, all answering in the test's own way.
+type world struct {
+	sync.Mutex
+	t       testing.TB
+	host    *Host
+	table   *memory.Table
+	ln      *httptest.Server // the endpoint
+	agent   *httptest.Server
+	answer  func(w http.ResponseWriter, r *http.Request, body string)
+	calls   []string // ids of the messages called, in order
+	notices []string
+	front   *Front
+	client  func(req string) int
+}
+
+func pool(addr, lifecycle string, generation int) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":"s-1","hostPort":%q,"zone":"z",
+		"machineType":"broker","cell":7,"lifecycle":%q,"weight":1.0,"startedAtMs":0}]}`, generation, addr, lifecycle)
+}
+
+func startWorld(t testing.TB, answer func(w http.ResponseWriter, r *http.Request, body string)) *world {
+	t.Helper()
+	w := &world{t: t, answer: answer}
+	w.ln = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		w.Lock()
+		if id := r.Header.Get("X-Correlation-Id"); id != "" {
+			w.calls = append(w.calls, id)
+		}
+		for _, v := range gjson.ParseBytes(b).Array() {
+			w.calls = append(w.calls, v.Get("id").Str)
+		}
+		w.Unlock()
+		w.answer(rw, r, string(b))
+	}))
+	stop := make(chan struct{})
+	w.agent = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/v1/notices" {
+			w.Lock()
+			w.notices = append(w.notices, strings.Split(strings.TrimSpace(string(b)), "\n")...)
+			w.Unlock()
+			rw.WriteHeader(204)
+		} else if r.URL.Query().Get("from") != "" {
+			<-stop
+		} else {
+			io.WriteString(rw, pool(w.ln.Listener.Addr().String(), "in_service", 1))
+		}
+	}))
+	journal, table, err := memory.OpenJournal(t.TempDir(), 3e6, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.table = table
+	if w.host, err = NewHost(HostConfig{Settings: testSettings(), Seed: 1, ConnectTimeout: time.Second, IdleMost: 8,
+		Table: table, Journal: journal, Log: quiet}); err != nil {
+		t.Fatal(err)
+	}
+	set, ln := testSettings(), listen(t)
+	w.front = NewFront(ln, &set, 100, w.host.Events(), quiet)
+	w.host.Watch(w.agent.Listener.Addr().String())
+	done := make(chan struct{})
+	go func() { w.host.Run(stop); close(done) }()
+	go w.front.Serve()
+	w.client = func(req string) int {
+		c, r := dial(t, ln)
+		defer c.Close()
+		io.WriteString(c, req)
+		a, err := readStatus(r)
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		return a.status
+	}
+	t.Cleanup(func() {
+		w.front.Drain()
+		close(stop)
+		<-done
+		w.ln.CloseClientConnections()
+		w.ln.Close()
+		w.agent.CloseClientConnections()
+		w.agent.Close()
+	})
+	return w
+}
+
+func (w *world) until(what string, ok func() bool) {
+	w.t.Helper()
+	waitFor(w.t, what, func() bool { w.Lock(); defer w.Unlock(); return ok() })
+}
+
+func (w *world) empty() {
+	w.t.Helper()
+	waitFor(w.t, "the table to empty", func() bool { held, out := w.host.Load(); return held+out == 0 })
+}
+
+func hand(class, id, more, body string, left int) string {
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Time-Left-Ms: %d\r\nEnvelope: dest=7\r\n%sContent-Length: %d\r\n\r\n%s",
+		class, id, left, more, len(body), body)
+}
+
+// okay answers as an endpoint that takes all: one message, or each of a batch.
+func okay(w http.ResponseWriter, r *http.Request, body string) {
+	if r.URL.Path == "/hook/batch" {
+		var out []string
+		for _, v := range gjson.Parse(body).Array() {
+			out = append(out, fmt.Sprintf(`{"id":%q,"state":"ok"}`, v.Get("id").Str))
+		}
+		io.WriteString(w, "["+strings.Join(out, ",")+"]")
+	}
+}
+
+// Messages go from client to endpoint, alone and several in a call, and nothing is left; an expired one is
+// ended by a notice.
+func TestDeliversAndEnds(t *testing.T) {
+	w := startWorld(t, okay)
+	for i := range 8 {
+		if got := w.client(hand("alert", fmt.Sprint("m", i), "", "b", 5000)); got != 202 {
+			t.Fatalf("answered %d", got)
+		}
+	}
+	if got := w.client(hand("fee", "late", "", "b", 0)); got != 202 {
+		t.Fatalf("answered %d", got)
+	}
+	w.until("the notice", func() bool { return len(w.notices) == 1 })
+	w.empty()
+	if n := gjson.Parse(w.notices[0]); n.Get("message").Str != "late" || n.Get("outcome").Str != "handed_back" {
+		t.Errorf("notice %s", w.notices[0])
+	}
+	if len(w.calls) != 8 {
+		t.Errorf("called with %v", w.calls)
+	}
+}
+
+// Over the hold a hand-in is refused, and what the module gives up is ended, not kept.
+func TestFullHold(t *testing.T) {
+	release := make(chan struct{})
+	w := startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) { <-release; okay(rw, r, body) })
+	refused := 0
+	for i := range 12 {
+		if got := w.client(hand("fee", fmt.Sprint("m", i), "", "b", 19000)); got == 503 {
+			refused++
+		} else if got != 202 {
+			t.Fatalf("answered %d", got)
+		}
+	}
+	close(release)
+	w.empty()
+	w.Lock()
+	defer w.Unlock()
+	if refused+len(w.notices)+len(w.calls) != 12 || len(w.calls) > 8 || refused == 0 {
+		t.Errorf("%d refused, notices %v, calls %v", refused, w.notices, w.calls)
+	}
+}
+
+// A panic of the module is not the relay's end: it starts anew with what is held, and each message still ends
+// once.
+func TestModulePanic(t *testing.T) {
+	release := make(chan struct{})
+	w := startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) { <-release; okay(rw, r, body) })
+	w.client(hand("fee", "out", "", "b", 19000))
+	w.until("the call", func() bool { return len(w.calls) == 1 })
+	w.host.Do(func(h *Host) { h.relay = nil; h.pending = append(h.pending, policy.Woke{}) })
+	w.client(hand("alert", "next", "", "b", 5000))
+	close(release)
+	w.empty()
+	w.until("both calls", func() bool { return len(w.calls) == 2 })
+	if len(w.notices) != 0 {
+		t.Errorf("notices %v", w.notices)
+	}
+}
+
+// bare is a host without its loop, for steps by hand.
+func bare(t *testing.T) *Host {
+	journal, table, err := memory.OpenJournal(t.TempDir(), 3e6, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, err := memory.ParsePoolConfig(pool("127.0.0.1:1", "in_service", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := NewHost(HostConfig{Settings: testSettings(), Known: known, Table: table, Journal: journal, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func (h *Host) message(id string, dest, size int) *memory.Message {
+	m := &memory.Message{Num: h.table.Next(), ID: id, Class: "alert", Dest: dest, Body: make([]byte, size), Deadline: time.Now().Add(time.Hour)}
+	h.table.Add(m)
+	return m
+}
+
+// A send that the host cannot make ends as unsent: to another destination, a second copy, no such endpoint.
+func TestSendsThatCannotBeMade(t *testing.T) {
+	h := bare(t)
+	h.pending = nil
+	other, out := h.message("other", 8, 1), h.message("out", 7, 1)
+	out.Out = &memory.Out{}
+	for i, a := range []policy.Send{{ID: other.Num, Endpoint: "s-1"}, {ID: out.Num, Endpoint: "s-1"}, {ID: h.message("x", 7, 1).Num, Endpoint: "s-9"}} {
+		if calls := h.send(0, time.Now(), a, map[string]*call{}, nil); len(calls) != 0 || len(h.pending) != i+1 ||
+			h.pending[i].(policy.Ended).Outcome != policy.Unsent {
+			t.Errorf("%+v: %d calls, %v", a, len(calls), h.pending)
+		}
+	}
+}
+
+// A batch ends at the kind's limit and at the longest body that may be sent, and then only if slots are left.
+func TestBatchLimits(t *testing.T) {
+	for name, c := range map[string]struct {
+		sizes  []int
+		out    int
+		calls  []int
+		unsent int
+	}{
+		"by count":  {[]int{1, 1, 1, 1, 1, 1}, 0, []int{5, 1}, 0},
+		"by length": {[]int{20 << 10, 20 << 10, 20 << 10}, 0, []int{2, 1}, 0},
+		"no slot":   {[]int{20 << 10, 20 << 10, 20 << 10}, 3, []int{2}, 1},
+	} {
+		h := bare(t)
+		h.pending = nil
+		for range c.out {
+			h.calls[&call{}] = struct{}{}
+		}
+		open, calls := map[string]*call{}, []*call(nil)
+		for i, size := range c.sizes {
+			calls = h.send(0, time.Now(), policy.Send{ID: h.message(fmt.Sprint(i), 7, size).Num, Endpoint: "s-1"}, open, calls)
+		}
+		var got []int
+		for _, cl := range calls {
+			got = append(got, len(cl.items))
+			if body := appendCall(nil, cl); len(cl.items) > 1 && len(body) > maxBody+maxLine {
+				t.Errorf("%s: a batch of %d bytes", name, len(body))
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(c.calls) || len(h.pending) != c.unsent {
+			t.Errorf("%s: calls %v, %d unsent, want %v, %d", name, got, len(h.pending), c.calls, c.unsent)
+		}
+	}
+}
+
+// A message whose own time is up is told as timed out while the others keep the call; its late answer ends
+// nothing twice.
+func TestTimeUpInBatch(t *testing.T) {
+	h := bare(t)
+	short, long := h.message("short", 7, 1), h.message("long", 7, 1)
+	wall := time.Now()
+	short.Deadline = wall.Add(time.Second)
+	open := map[string]*call{}
+	calls := h.send(0, wall, policy.Send{ID: short.Num, Endpoint: "s-1", Timeout: time.Second}, open, nil)
+	calls = h.send(0, wall, policy.Send{ID: long.Num, Endpoint: "s-1", Timeout: 3 * time.Second}, open, calls)
+	cl := calls[0]
+	h.calls[cl], h.pending = struct{}{}, nil
+	h.expire(time.Second - 1)
+	if len(h.pending) != 0 {
+		t.Fatalf("too early: %v", h.pending)
+	}
+	h.expire(time.Second)
+	h.callEnded(callEnded{call: cl, ends: alike(cl, end{outcome: policy.Delivered})})
+	if len(h.pending) != 2 || h.pending[0].(policy.Ended).Outcome != policy.TimedOut || h.pending[0].(policy.Ended).ID != short.Num ||
+		h.pending[1].(policy.Ended).ID != long.Num {
+		t.Fatalf("told %+v", h.pending)
+	}
+}
+
+// The pool config: a member that drains is shut to calls at once, one that moved or left loses its idle
+// connections, and idle connections are bounded.
+func TestPoolNewsAndIdle(t *testing.T) {
+	h := bare(t)
+	h.idleMost = 2
+	ep := h.endpoints["s-1"]
+	for range 3 {
+		h.callEnded(callEnded{conn: &routeConn{ep: ep, calls: make(chan *call, 1)}, call: &call{ep: ep}, keep: true})
+	}
+	idle := ep.idle
+	if len(idle) != 2 {
+		t.Fatalf("%d idle", len(idle))
+	}
+	news := func(addr, lifecycle string) {
+		pc, err := memory.ParsePoolConfig(pool(addr, lifecycle, 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.poolNews(pc, policy.ListChanges)
+	}
+	news("127.0.0.1:1", "terminating")
+	if policy.EndpointState(ep.state.Load()) != policy.Draining || len(ep.idle) != 2 {
+		t.Errorf("draining: state %v, %d idle", ep.state.Load(), len(ep.idle))
+	}
+	news("127.0.0.1:2", "in_service")
+	if _, open := <-idle[0].calls; open || h.endpoints["s-1"] == ep || !ep.gone() {
+		t.Error("moved: the old connections stay")
+	}
+	news("127.0.0.1:2", "terminated")
+	if len(h.endpoints) != 0 {
+		t.Error("gone: still there")
+	}
+}
+
+// A watch survives errors and goes on from what it has; a line of a notice that can't be read holds up no other.
+func TestAgentInTrouble(t *testing.T) {
+	var mu sync.Mutex
+	var asked, taken []string
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.URL.Path == "/v1/notices" {
+			sc := bufio.NewScanner(r.Body)
+			var lines []string
+			for sc.Scan() {
+				lines = append(lines, sc.Text())
+			}
+			if strings.Contains(strings.Join(lines, ""), "bad") {
+				w.WriteHeader(400)
+				return
+			}
+			taken = append(taken, lines...)
+			w.WriteHeader(204)
+			return
+		}
+		asked = append(asked, r.URL.RawQuery)
+		switch len(asked) {
+		case 1:
+			w.WriteHeader(500)
+		case 2:
+			io.WriteString(w, pool("127.0.0.1:1", "in_service", 41))
+		case 3:
+			io.WriteString(w, "{")
+		default:
+			io.WriteString(w, strings.Replace(pool("127.0.0.1:1", "terminating", 42), "true", "false", 1))
+		}
+	}))
+	defer agent.Close()
+	addr, events := agent.Listener.Addr().String(), make(chan any)
+	go watch(addr, events, quiet)
+	first, second := (<-events).(poolNews), (<-events).(poolNews)
+	if !first.Whole || first.Generation != 41 || second.Whole || second.Members[0].State != policy.Draining {
+		t.Errorf("news %+v, then %+v", first, second)
+	}
+	go func() {
+		for range events {
+		}
+	}()
+	mu.Lock()
+	if !strings.Contains(asked[3], "from=41&hold_ms=") {
+		t.Errorf("asked %q", asked)
+	}
+	mu.Unlock()
+	in, acks := make(chan owed, 3), make(chan any, 3)
+	for i, id := range []string{"a", "bad", "c\"\n"} {
+		in <- owed{uint32(i), id, memory.Notice{Refused: i == 2, Advice: 500 * time.Millisecond}}
+	}
+	go notify(addr, in, acks, quiet)
+	got := map[uint32]bool{}
+	for len(got) < 3 {
+		for _, n := range (<-acks).(noticed).nums {
+			got[n] = true
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(taken) != 2 || gjson.Get(taken[1], "message").Str != "c\"\n" || gjson.Get(taken[1], "retry_in_ms").Int() != 500 {
+		t.Errorf("taken %q", taken)
+	}
+}
--- /dev/null
+++ b/internal/wire/route_test.go
@@ -0,0 +1,204 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"oatfold/policy"
+)
+
+// script is what an endpoint does with one call: the bytes it writes, then whether it closes.
+type script struct {
+	write  string
+	close  bool
+	silent bool // it neither answers nor closes
+
+	ends []policy.Outcome // what must come of it, for one message or for three
+	over bool
+	wait bool
+	keep bool
+}
+
+func rep(head string, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+func one(o policy.Outcome) []policy.Outcome   { return []policy.Outcome{o} }
+func three(o policy.Outcome) []policy.Outcome { return []policy.Outcome{o, o, o} }
+
+// The model of an endpoint's connection: each way a call may end, and whether the connection carries another.
+var model = []script{
+	{write: rep("200 OK", "hello"), ends: one(policy.Delivered), keep: true},
+	{write: rep("200 OK\r\nConnection: close", ""), ends: one(policy.Delivered)},
+	{write: rep("429 X\r\nWait-Ms: 60000", ""), ends: one(policy.Rejected), wait: true, keep: true},
+	{write: rep("503 X", ""), ends: one(policy.Rejected), keep: true},
+	{write: rep("503 X\r\nSlots-Taken: 1", ""), ends: one(policy.Unsent), keep: true},
+	{write: rep("504 X", ""), ends: one(policy.Unsent), keep: true},
+	{write: rep("410 X", ""), ends: one(policy.Unsent), over: true, keep: true},
+	{write: rep("500 X", "boom"), ends: one(policy.Errored), keep: true},
+	{close: true, ends: one(policy.Broken)},
+	{write: "HTTP/1.1 200 OK\r\n", close: true, ends: one(policy.Delivered)},
+	{write: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel", close: true, ends: one(policy.Delivered)},
+	{write: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel", ends: one(policy.Delivered)}, // the rest never comes
+	{write: "HTTP/1.1 503 X\r\nWa", close: true, ends: one(policy.Broken)},
+	{write: "nonsense\r\n\r\n", ends: one(policy.Broken)},
+	{silent: true, ends: one(policy.TimedOut)},
+	{write: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ends: one(policy.Delivered), keep: true},
+	{write: rep("200 OK", "closes while it stands idle"), close: true, ends: one(policy.Delivered), keep: true},
+	{write: "HTTP/1.0 200 OK\r\n\r\nuntil the end", close: true, ends: one(policy.Delivered)},
+
+	{write: rep("200 OK", `[{"id":"b","state":"later"},{"id":"a","state":"ok"},{"id":"c","state":"error"}]`),
+		ends: []policy.Outcome{policy.Delivered, policy.Rejected, policy.Errored}, keep: true},
+	{write: rep("200 OK\r\nWait-Ms: 60000", `[{"id":"a","state":"exhausted"},{"id":"b","state":"ok"}]`),
+		ends: []policy.Outcome{policy.Unsent, policy.Delivered, policy.Errored}, wait: true, keep: true},
+	{write: rep("200 OK", `[{"id":`), ends: three(policy.Errored), keep: true},
+	{write: "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n[", close: true, ends: three(policy.Broken)},
+	{write: rep("429 X\r\nWait-Ms: 60000", ""), ends: three(policy.Rejected), wait: true, keep: true},
+	{write: rep("413 X", ""), ends: three(policy.Unsent), keep: true},
+	{silent: true, ends: three(policy.TimedOut)},
+}
+
+// partner serves scripts on every connection and hands on what it read.
+func partner(ln net.Listener, scripts <-chan script, seen chan<- *head, bodies chan<- []byte) {
+	for {
+		sock, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer sock.Close()
+			for r := bufio.NewReaderSize(sock, maxLine); ; {
+				h, err := readHead(r)
+				if err != nil {
+					return
+				}
+				length, chunked, _ := h.framing()
+				body, _ := readBody(r, length, chunked, maxAnswer)
+				s := <-scripts
+				seen <- h
+				bodies <- body
+				io.WriteString(sock, s.write)
+				if s.close {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// Random steps on one endpoint's connections are checked against the model: each message gets one end, which
+// says no more of what ran than the call's stage proves, and a connection is used again only if it can be.
+func FuzzRoute(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+	f.Add([]byte{13, 0, 14, 0, 15, 16, 0, 16, 18, 17, 0, 18, 19, 20, 21, 22, 23, 24, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		ln := listen(t)
+		scripts, seen, bodies := make(chan script, 1), make(chan *head, 1), make(chan []byte, 1)
+		go partner(ln, scripts, seen, bodies)
+		ep := &endpoint{id: "e", addr: ln.Addr().String(), gate: &gate{}}
+		c := &routeConn{ep: ep, dialTimeout: 20 * time.Second}
+		defer func() { c.drop() }()
+		for _, b := range steps[:min(len(steps), 24)] {
+			s := model[int(b)%len(model)]
+			cl := &call{ep: ep, timeout: 20 * time.Second}
+			for i := range s.ends {
+				cl.items = append(cl.items, item{id: string("abc"[i]), key: "k", body: []byte{0, '\n', b}})
+			}
+			cl.deadline = time.Now().Add(cl.timeout)
+			scripts <- s
+			done := make(chan callEnded, 1)
+			go func() { done <- c.carry(cl) }()
+			h, body := <-seen, <-bodies
+			if s.silent { // the time is up as soon as the call was read, however slow the machine is
+				c.sock.SetReadDeadline(time.Unix(1, 0))
+			}
+			res := <-done
+			if len(s.ends) == 1 && (h.line[1] != "/hook" || h.get("X-Correlation-Id") != "a" || h.get("Idempotency-Key") != "k" ||
+				string(body) != string(cl.items[0].body)) {
+				t.Fatalf("call %+v with body %q", h, body)
+			}
+			if list := gjson.ParseBytes(body).Array(); len(s.ends) == 3 && (h.line[1] != "/hook/batch" || len(list) != 3 ||
+				list[2].Get("id").Str != "c" || list[2].Get("key").Str != "k" ||
+				list[2].Get("body").Str != base64.StdEncoding.EncodeToString(cl.items[2].body)) {
+				t.Fatalf("batch %+v with body %q", h, body)
+			}
+			var got []policy.Outcome
+			for _, e := range res.ends {
+				got = append(got, e.outcome)
+				if e.over != s.over {
+					t.Fatalf("step %d: over %v", b, e.over)
+				}
+			}
+			if !slices.Equal(got, s.ends) || res.keep != s.keep || (res.wait > 0) != s.wait || ep.gate.closed() != s.wait {
+				t.Fatalf("step %d: ends %v, keep %v, wait %v, error %v; want %+v", b, got, res.keep, res.wait, res.err, s)
+			}
+			var se *StepError
+			if errors.As(res.err, &se) && se.Stage < Written {
+				t.Fatalf("step %d: stage %d of a call that was read", b, se.Stage)
+			}
+			if s.wait { // a call that was on its way meets the closed gate, and nothing of it is written
+				held := c.carry(cl)
+				if held.ends[0].outcome != policy.Unsent || !errors.Is(held.err, errHeldBack) || len(seen) > 0 {
+					t.Fatalf("sent in spite of a wait: %+v", held)
+				}
+				c.drop()
+				ep.gate.until.Store(0)
+			} else if !res.keep {
+				c.drop()
+			} else if s.close {
+				waitFor(t, "the close to be noticed", func() bool { return stale(c.sock) })
+			}
+		}
+	})
+}
+
+// What never ran is told apart from what may have run by how far the attempt came.
+func TestStepErrorOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		stage Stage
+		err   error
+		want  policy.Outcome
+		never bool
+	}{
+		{Started, os.ErrDeadlineExceeded, policy.ConnectFailed, true}, {Dialled, io.ErrShortWrite, policy.ConnectFailed, true},
+		{Dialled, errHeldBack, policy.Unsent, true}, {Written, os.ErrDeadlineExceeded, policy.TimedOut, false},
+		{Written, io.EOF, policy.Broken, false}, {Answered, io.EOF, policy.Broken, false},
+	} {
+		e := &StepError{c.stage, c.err}
+		if e.Outcome() != c.want || e.NeverRan() != c.never || !strings.Contains(e.Error(), c.err.Error()) {
+			t.Errorf("%v: outcome %v, never ran %v", e, e.Outcome(), e.NeverRan())
+		}
+	}
+}
+
+// Nobody listening, a drained endpoint and a panic each end the call once, as what never ran.
+func TestCallsThatAreNotMade(t *testing.T) {
+	ln := listen(t)
+	addr := ln.Addr().String()
+	ln.Close()
+	call := func(ep *endpoint) callEnded {
+		return (&routeConn{ep: ep, dialTimeout: time.Second}).carry(&call{ep: ep, items: []item{{id: "a"}}, deadline: time.Now().Add(time.Minute)})
+	}
+	if got := call(&endpoint{addr: addr, gate: &gate{}}); got.ends[0].outcome != policy.ConnectFailed || got.keep {
+		t.Errorf("nobody listens: %+v", got)
+	}
+	drained := &endpoint{addr: listen(t).Addr().String(), gate: &gate{}}
+	drained.state.Store(int32(policy.Draining))
+	if got := call(drained); got.ends[0].outcome != policy.Unsent {
+		t.Errorf("drained: %+v", got)
+	}
+	if got := call(&endpoint{addr: listen(t).Addr().String()}); got.ends[0].outcome != policy.ConnectFailed || !strings.Contains(got.err.Error(), "panic") {
+		t.Errorf("panic: %+v", got)
+	}
+}
