Name the faulty key of the settings, and mend the test that looked at the wrong one

Its failure also showed that a bad number in the settings was only named in the module's terms; config checks them by their keys now.

--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -117,6 +117,9 @@
 	if c.Settings, c.Columns, err = ParseSettings(doc.Get("settings").Raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := checkSettings(doc.Get("settings")); err != nil {
+		return nil, err
+	}
 	if known := doc.Get("known"); known.Exists() {
 		if c.Known, err = memory.ParsePoolConfig(known.Raw); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
@@ -124,3 +127,28 @@
 	}
 	return c, nil
 }
+
+// checkSettings names the first key of the settings with which no relay could work. The module checks the
+// same in its own terms.
+func checkSettings(set gjson.Result) error {
+	for _, key := range []string{"fleetSize", "tickUs", "familyInfo.callSlots", "policyLimits.maxOpen", "policyLimits.maxAttempts"} {
+		if v := set.Get(key); v.Num < 1 {
+			return fmt.Errorf("settings.%s: %s is not a number of at least 1", key, v.Raw)
+		}
+	}
+	grades := set.Get("grades").Array()
+	if len(grades) == 0 {
+		return fmt.Errorf("settings.grades: no class of message")
+	}
+	for i, g := range grades {
+		for key, least := range map[string]float64{"promiseUs": 1, "deadlineUs": max(1, g.Get("promiseUs").Num)} {
+			if v := g.Get(key); v.Num < least {
+				return fmt.Errorf("settings.grades[%d].%s: %s is under %g", i, key, v.Raw, least)
+			}
+		}
+		if w := g.Get("repeatWindowUs"); g.Get("effect").Str == "keyed" && w.Num < 1 {
+			return fmt.Errorf("settings.grades[%d].repeatWindowUs: %s is not a number of at least 1", i, w.Raw)
+		}
+	}
+	return nil
+}
--- a/internal/daemon/config/config_test.go
+++ b/internal/daemon/config/config_test.go
@@ -75,10 +75,15 @@
 		"limits.sockets":                    {put("1024", "\"many\""), nil},
 		"limits.disk_mb":                    {put("\"disk_mb\": 3", "\"disk_mb\": 0"), nil},
 		"known: pool config: generation":    {put("\"generation\": 0", "\"generation\": null"), nil},
-		"settings.policyLimits.connectTime": {put("1500000", "\"x\""), nil},
+		"settings.policyLimits.connectTime": {put("\"connectTimeoutUs\": 1500000", "\"connectTimeoutUs\": \"x\""), nil},
 		"settings: missing":                 {put("\"settings\"", "\"other\""), nil},
 		"familyInfo.callSlots":              {put("\"callSlots\": 4", "\"callSlots\": \"x\""), nil},
-		"unknown effect \"odd\"":            {put("\"unsafe\"", "\"odd\""), nil},
+		"settings.tickUs: 0 is not":         {put("\"tickUs\": 5000", "\"tickUs\": 0"), nil},
+		"grades[0].repeatWindowUs": {func(s string) string {
+			return put("\"safe\"", "\"keyed\"")(put("\"repeatWindowUs\": 5000000", "\"repeatWindowUs\": 0")(s))
+		}, nil},
+		"grades[0].promiseUs":    {put("\"promiseUs\": 1500000", "\"promiseUs\": 0"), nil},
+		"unknown effect \"odd\"": {put("\"unsafe\"", "\"odd\""), nil},
 	} {
 		if _, err := load(t, c.change, c.env); err == nil || !strings.Contains(err.Error(), says) {
 			t.Errorf("error %v, want one with %q", err, says)
