Give up hung watches and notices in time; no slot told free before its call ends

Read against PROTOCOL: news counts as told after 6 s whether it came or not, and a watch that hung unseen was held for 12 s; a notice is due in 300 ms, and a hung connection was held for 1 s; a call that lasted to its message's deadline told the module of a free slot a few ms before its connection ended, which the endpoint answers with Slots-Taken.

--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -405,7 +405,12 @@
 func (h *Host) begin(cl *call, wall time.Time) {
 	msgs := make([]*memory.Message, len(cl.items))
 	for i := range cl.items {
-		msgs[i] = h.table.Get(cl.items[i].num)
+		it := &cl.items[i]
+		if msgs[i] = h.table.Get(it.num); it.until >= cl.began+cl.timeout-h.set.Tick {
+			// Guards against telling the module of a free slot while the connection still holds it: where the
+			// call itself lasts no longer, its end will tell.
+			it.until = 0
+		}
 	}
 	h.calls[cl] = struct{}{}
 	if err := h.journal.Out(h.table, wall, msgs); err != nil {
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -272,7 +272,8 @@
 	calls := h.send(0, wall, policy.Send{ID: short.Num, Endpoint: "s-1", Timeout: time.Second}, open, nil)
 	calls = h.send(0, wall, policy.Send{ID: long.Num, Endpoint: "s-1", Timeout: 3 * time.Second}, open, calls)
 	cl := calls[0]
-	h.calls[cl], h.pending = struct{}{}, nil
+	h.pending = nil
+	h.begin(cl, wall)
 	h.expire(time.Second - 1)
 	if len(h.pending) != 0 {
 		t.Fatalf("too early: %v", h.pending)
@@ -285,6 +286,19 @@
 	}
 }
 
+// Where a call ends with its message's time, only its own end is told: the slot is not free before.
+func TestTimeUpWithCall(t *testing.T) {
+	h := bare(t)
+	m, wall := h.message("m", 7, 1), time.Now()
+	m.Deadline = wall.Add(time.Second)
+	cl := h.send(0, wall, policy.Send{ID: m.Num, Endpoint: "s-1", Timeout: time.Second}, map[string]*call{}, nil)[0]
+	h.pending = nil
+	h.begin(cl, wall)
+	if h.expire(2 * time.Second); len(h.pending) != 0 {
+		t.Fatalf("told %+v", h.pending)
+	}
+}
+
 // The pool config: a member that drains is shut to calls at once, one that moved or left loses its idle
 // connections, and idle connections are bounded.
 func TestPoolNewsAndIdle(t *testing.T) {
--- a/internal/wire/notice.go
+++ b/internal/wire/notice.go
@@ -11,9 +11,10 @@
 	"oatfold/internal/memory"
 )
 
+// A notice is due within 300 ms of its message's time: a connection that hangs must leave time for another try.
 const (
-	noticeLimit   = time.Second            // for the platform's answer
-	noticeBackoff = 100 * time.Millisecond // after a failure
+	noticeLimit   = 120 * time.Millisecond // for the platform's answer, which comes at once
+	noticeBackoff = 20 * time.Millisecond  // after a failure
 	noticeMost    = 200                    // lines in one request
 )
 
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -21,7 +21,7 @@
 		p.close()
 	}
 	if p.sock == nil {
-		sock, err := net.DialTimeout("tcp", p.addr, agentDial)
+		sock, err := net.DialTimeout("tcp", p.addr, min(limit, agentDial))
 		if err != nil {
 			return nil, &StepError{Started, err}
 		}
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -8,9 +8,11 @@
 	"oatfold/internal/memory"
 )
 
+// What discovery has to tell counts as told after 6 s even if it did not arrive: a watch that hangs unseen must
+// be given up, and asked anew, well before that.
 const (
-	watchHold    = 10 * time.Second       // how long a watch may wait for news
-	watchSlack   = 2 * time.Second        // and how much longer we wait for its answer
+	watchHold    = 3 * time.Second        // how long a watch may wait for news
+	watchSlack   = time.Second            // and how much longer we wait for its answer
 	watchBackoff = 100 * time.Millisecond // after a failure; under the 200 ms that keep a watch going
 )
 
