--- a/policy/input_test.go
+++ b/policy/input_test.go
@@ -124,3 +124,34 @@
 		}
 	}
 }
+
+// What an earlier life left behind goes on where it stood: attempts count on, an unsafe message that may have
+// run is failed, a keyed one goes again only within its window.
+func TestArrivedFromEarlierLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		class                string
+		tries                int
+		mayHave              bool
+		age                  Time
+		sent, failed, handed int
+	}{
+		"unsafe, never ran":    {"unsafe", 2, false, 0, 1, 0, 0},
+		"unsafe, may have run": {"unsafe", 1, true, sec, 0, 1, 0},
+		"keyed in its window":  {"keyed", 1, true, 2 * sec, 1, 0, 0},
+		"keyed past it":        {"keyed", 1, true, 4 * sec, 0, 0, 1},
+		"no attempts left":     {"safe", 6, true, sec, 0, 0, 1},
+	} {
+		b := start(t, nil)
+		m := b.msg(c.class, 1, "k")
+		m.Tries, m.MayHave, m.RiskAge = c.tries, c.mayHave, c.age
+		acts := b.step(m)
+		if s, f, h := len(pick[Send](acts)), len(pick[Fail](acts)), len(pick[Refuse](acts)); s != c.sent || f != c.failed || h != c.handed {
+			t.Errorf("%s: %d sent, %d failed, %d handed back", name, s, f, h)
+		}
+		if c.sent == 1 { // an outcome is matched by the attempt's number, counted over both lives
+			if b.after(100*ms, end(m.ID, c.tries, Delivered)); len(b.r.msgs) != 0 {
+				t.Errorf("%s: still held after its delivery", name)
+			}
+		}
+	}
+}
