Read pool configs leniently; never take stray bytes for the next call's answer

By reading: one entry in an unknown state made the whole list unreadable, and the relay would have heard of no drain after it; bytes past an answer stayed in the read buffer, where the check for a quiet socket does not see them, and would have been read as the next call's answer (route.go, carry). Model and test cover both.

--- /dev/null
+++ b/internal/memory/pool_test.go
@@ -0,0 +1,28 @@
+package memory
+
+import (
+	"testing"
+
+	"oatfold/policy"
+)
+
+// One odd entry does not hide the others, and what is in no known state gets no new work.
+func TestParsePoolConfig(t *testing.T) {
+	pc, err := ParsePoolConfig(`{"generation":43,"reset":true,"new":1,"instances":[
+		{"instanceId":"a","hostPort":"127.0.0.1:1","cell":3,"lifecycle":"in_service","machineType":"broker","zone":"z","weight":2.5},
+		{"instanceId":"b","hostPort":"127.0.0.1:2","cell":"3","lifecycle":"in_service"},
+		{"instanceId":"c","cell":3,"lifecycle":"in_service"}, 7,
+		{"instanceId":"d","cell":3,"lifecycle":"resting"}, {"instanceId":"e","cell":4,"lifecycle":"terminated"}]}`)
+	if err != nil || pc.Generation != 43 || !pc.Whole || pc.Skipped != 3 || len(pc.Members) != 3 {
+		t.Fatalf("%+v, %v", pc, err)
+	}
+	want := policy.Endpoint{Address: "a", Destination: 3, Kind: "broker", Zone: "z", Rate: 2.5}
+	if m := pc.Members; m[0].Endpoint != want || m[0].HostPort != "127.0.0.1:1" || m[1].State != policy.Draining || m[2].State != policy.Removed {
+		t.Errorf("%+v", m)
+	}
+	for _, raw := range []string{"", "{", "[]", `{"generation":"1","instances":[]}`, `{"generation":1,"instances":{}}`} {
+		if _, err := ParsePoolConfig(raw); err == nil {
+			t.Errorf("%q was read", raw)
+		}
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -518,6 +518,9 @@
 			delete(h.endpoints, id)
 		}
 	}
+	if pc.Skipped > 0 {
+		h.log.Warn("pool config has entries that can't be read", "count", pc.Skipped, "generation", pc.Generation)
+	}
 	h.pending = append(h.pending, news)
 	h.log.Debug("pool config", "generation", pc.Generation, "entries", len(pc.Members), "whole", kind != policy.ListChanges)
 }
@@ -530,6 +533,9 @@
 		}
 		return
 	}
+	if ep != nil && mb.HostPort == "" {
+		mb.HostPort = ep.addr // a change need not name it again
+	}
 	if ep == nil || ep.addr != mb.HostPort || ep.dest != mb.Destination {
 		if ep != nil {
 			ep.state.Store(int32(policy.Removed)) // its connections lead elsewhere now
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -40,7 +40,7 @@
 		p.close()
 		return nil, &StepError{Written, err}
 	}
-	if !a.keep {
+	if !a.keep || p.r.Buffered() > 0 {
 		p.close()
 	}
 	return a, nil
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -228,7 +228,8 @@
 		fail(rest)
 		return res
 	}
-	res.keep = rest == nil && a.keep
+	// Guards against taking what an endpoint wrote past its answer for the answer to the next call.
+	res.keep = rest == nil && a.keep && c.r.Buffered() == 0
 	res.ends = ends(cl, a)
 	return res
 }
--- a/internal/wire/route_test.go
+++ b/internal/wire/route_test.go
@@ -40,6 +40,7 @@
 // The model of an endpoint's connection: each way a call may end, and whether the connection carries another.
 var model = []script{
 	{write: rep("200 OK", "hello"), ends: one(policy.Delivered), keep: true},
+	{write: rep("503 X", "") + rep("200 OK", ""), ends: one(policy.Rejected)}, // more than one answer
 	{write: rep("200 OK\r\nConnection: close", ""), ends: one(policy.Delivered)},
 	{write: rep("429 X\r\nWait-Ms: 60000", ""), ends: one(policy.Rejected), wait: true, keep: true},
 	{write: rep("503 X", ""), ends: one(policy.Rejected), keep: true},
@@ -101,6 +102,7 @@
 // says no more of what ran than the call's stage proves, and a connection is used again only if it can be.
 func FuzzRoute(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+	f.Add([]byte{25, 0, 25, 1, 1, 0})
 	f.Add([]byte{13, 0, 14, 0, 15, 16, 0, 16, 18, 17, 0, 18, 19, 20, 21, 22, 23, 24, 0})
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		ln := listen(t)
