--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -213,16 +213,16 @@
 	switch {
 	case method == "GET" && path == "/ready":
 		if f.ready.Load() && !f.closing.Load() {
-			return f.reply(sock, 200, 0, keep) == nil && keep
+			return f.reply(sock, 200, 0, keep, nil) == nil && keep
 		}
-		return f.reply(sock, 503, 0, keep) == nil && keep
+		return f.reply(sock, 503, 0, keep, nil) == nil && keep
 	case method != "POST":
-		return f.reply(sock, 405, 0, keep) == nil && keep
+		return f.reply(sock, 405, 0, keep, nil) == nil && keep
 	}
 	m, left, err := f.message(h, path, body)
 	if err != nil {
 		f.log.Debug("request refused", "err", err)
-		return f.reply(sock, 400, 0, keep) == nil && keep
+		return f.reply(sock, 400, 0, keep, err) == nil && keep
 	}
 	return f.take(sock, m, began.Add(left), keep)
 }
@@ -238,14 +238,17 @@
 		if v.known {
 			status = 202
 		}
-		return f.reply(sock, status, v.retry, keep) == nil && keep
+		return f.reply(sock, status, v.retry, keep, nil) == nil && keep
 	}
-	err := f.reply(sock, 202, 0, keep)
+	err := f.reply(sock, 202, 0, keep, nil)
 	f.events <- handedIn{m.Num, err == nil}
 	return err == nil && keep
 }
 
-var errField = errors.New("missing or malformed field")
+// fieldError names what a hand-in lacks or has in a form that can't be read.
+type fieldError string
+
+func (e fieldError) Error() string { return "missing or malformed: " + string(e) }
 
 // message reads what the client hands in, and how long it may take.
 func (f *Front) message(h *head, path string, body []byte) (*memory.Message, time.Duration, error) {
@@ -261,10 +264,16 @@
 		}
 	}
 	switch {
-	case class == nil, id == "", len(id) > maxID, len(key) > maxID, err != nil, !known:
-		return nil, 0, errField
-	case class.Effect == policy.Keyed && key == "":
-		return nil, 0, errField // without its key a repeat would not be dropped
+	case class == nil:
+		return nil, 0, fieldError("class in the path")
+	case id == "" || len(id) > maxID:
+		return nil, 0, fieldError("X-Correlation-Id")
+	case len(key) > maxID || class.Effect == policy.Keyed && key == "":
+		return nil, 0, fieldError("Idempotency-Key") // without it a repeat would not be dropped
+	case err != nil:
+		return nil, 0, fieldError("X-Time-Left-Ms")
+	case !known:
+		return nil, 0, fieldError("dest in Envelope")
 	}
 	// Guards against a figure that overflows, and against one beyond the class's patience.
 	limit := min(time.Duration(min(left, int(time.Hour.Milliseconds())))*time.Millisecond, class.Deadline)
@@ -284,7 +293,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = 408
 	}
-	if status != 0 && f.reply(sock, status, 0, false) == nil {
+	if status != 0 && f.reply(sock, status, 0, false, err) == nil {
 		// Guards against a reset that overtakes the answer: what the client still sends is read away.
 		if t, ok := sock.(*net.TCPConn); ok {
 			t.CloseWrite()
@@ -298,7 +307,8 @@
 var reasons = map[int]string{200: "OK", 202: "Accepted", 400: "Bad Request", 405: "Method Not Allowed",
 	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large", 503: "Service Unavailable"}
 
-func (f *Front) reply(sock net.Conn, status int, retry time.Duration, keep bool) error {
+// reply answers with a status, advice when to come again if there is any, and for a bad request what was wrong.
+func (f *Front) reply(sock net.Conn, status int, retry time.Duration, keep bool, wrong error) error {
 	b := make([]byte, 0, 128)
 	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10), ' ')
 	b = append(append(b, reasons[status]...), "\r\n"...)
@@ -308,7 +318,11 @@
 	if !keep || f.closing.Load() {
 		b = appendField(b, "Connection", "close")
 	}
+	text := ""
+	if wrong != nil {
+		text = wrong.Error() + "\n"
+	}
 	sock.SetWriteDeadline(time.Now().Add(writeLimit))
-	_, err := sock.Write(appendLength(b, 0))
+	_, err := sock.Write(append(appendLength(b, len(text)), text...))
 	return err
 }
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -185,6 +185,9 @@
 			if (a.status == 503) != (a.get("Retry-After") != "") {
 				t.Fatalf("step %d: %d with advice %q", s, a.status, a.get("Retry-After"))
 			}
+			if (a.status == 400 || a.status == 413 || a.status == 431) != (len(a.body) > 0) {
+				t.Fatalf("step %d: %d with text %q", s, a.status, a.body)
+			}
 			if a.status == 202 {
 				taken++
 			}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"slices"
@@ -234,7 +235,9 @@
 		if err = h.journal.Taken(h.table, e.msg); err == nil {
 			return verdict{taken: true}
 		}
-		h.log.Error("message not taken on", "err", err)
+		if !errors.Is(err, memory.ErrFull) { // a full budget is counted below, like a full hold
+			h.log.Error("message not taken on", "err", err)
+		}
 	}
 	h.refused++
 	v := verdict{}
