--- a/cmd/oatfold/main_test.go
+++ b/cmd/oatfold/main_test.go
@@ -221,3 +221,49 @@
 		t.Errorf("%v: %s", err, out)
 	}
 }
+
+// Killed outright again and again while messages come in: each that was told 202 ends, and no charge is sent twice.
+func TestKilledAtAnyMoment(t *testing.T) {
+	s := newSite(t)
+	s.release()
+	var taken []string
+	for round := range 6 {
+		cmd := s.start()
+		done := make(chan struct{})
+		kill := sync.OnceFunc(func() {
+			go func() {
+				cmd.Process.Kill()
+				cmd.Wait()
+				close(done)
+			}()
+		})
+		for n, alive := 0, true; alive; n++ {
+			id := fmt.Sprintf("m%d-%d", round, n)
+			if s.ask(hand([]string{"fee-charge", "order-relay", "price-alert"}[n%3], id, "7", 19000)) == "202" {
+				taken = append(taken, id)
+			}
+			if n >= 5*round { // and on, while the kill is on its way
+				kill()
+			}
+			select {
+			case <-done:
+				alive = false
+			default:
+			}
+		}
+	}
+	s.start()
+	s.until("all that was taken to end", func() bool {
+		return !slices.ContainsFunc(taken, func(id string) bool { return s.calls[id] == 0 && !s.told(id, "") })
+	})
+	for _, id := range taken {
+		var n int
+		fmt.Sscanf(id[strings.Index(id, "-")+1:], "%d", &n)
+		if n%3 == 0 && s.calls[id] > 1 {
+			t.Errorf("charge %s was sent %d times", id, s.calls[id])
+		}
+	}
+	if len(taken) < 6 {
+		t.Errorf("only %d taken", len(taken))
+	}
+}
