Bind a wait to the route where routes are apart; drop unused fields

Found on review: where a kind's routes are apart, the gate that holds back calls on their way was shared by the whole destination and would have spent attempts on the other routes; and news of the list could end the pause of a module that starts anew. TestGates holds both. A linter found a nil context; unused fields went.

--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -21,7 +21,6 @@
 	MemoryBytes, DiskBytes         int64
 	Sockets                        int
 	ConnectTimeout                 time.Duration
-	Columns                        []string // of load reports
 	Known                          memory.PoolConfig
 	Settings                       policy.Settings
 }
@@ -112,7 +111,7 @@
 		return nil, fmt.Errorf("settings: missing")
 	}
 	var err error
-	if c.Settings, c.Columns, err = ParseSettings(doc.Get("settings").Raw); err != nil {
+	if c.Settings, _, err = ParseSettings(doc.Get("settings").Raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if err := checkSettings(doc.Get("settings")); err != nil {
--- a/internal/memory/table.go
+++ b/internal/memory/table.go
@@ -1,11 +1,7 @@
 // Package memory holds what a relay keeps: the message table, the pool config and the journal.
 package memory
 
-import (
-	"time"
-
-	"oatfold/policy"
-)
+import "time"
 
 // Message is one message that the relay owes its end, or has a route step out for.
 type Message struct {
@@ -26,11 +22,8 @@
 
 // Out is one route step of one message that is out. Each gets exactly one end.
 type Out struct {
-	Step     int
-	Endpoint string
-	At       policy.Time
-	WallAt   time.Time
-	Until    policy.Time // when the message's own time is up, if the call lasts longer
+	Step   int       // counted over all lives of the message
+	WallAt time.Time // when it began
 }
 
 // Notice ends a message that was taken on and is not delivered.
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -57,7 +57,6 @@
 // handIn asks the host to take a message on.
 type handIn struct {
 	msg   *memory.Message
-	until time.Time
 	reply chan verdict
 }
 
@@ -231,7 +230,7 @@
 func (f *Front) take(sock net.Conn, m *memory.Message, until time.Time, keep bool) bool {
 	m.Deadline = until
 	reply := make(chan verdict, 1)
-	f.events <- handIn{m, until, reply}
+	f.events <- handIn{m, reply}
 	v := <-reply
 	if !v.taken {
 		status := 503
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"encoding/base64"
 	"errors"
 	"log/slog"
@@ -41,12 +42,13 @@
 	endpoints map[string]*endpoint
 	gates     map[int]*gate
 	calls     map[*call]struct{}
-	kindBatch map[string]int
+	kindOf    map[string]policy.Kind
 	kinds     map[int]string // of destinations
 	lastStep  policy.Time
 	wakeAt    policy.Time // 0: none asked for
 	upkeepAt  policy.Time
 	firstBy   policy.Time // the first step waits until then for the pool config
+	holdTil   policy.Time // and the first of a module that starts anew for the end of told waits
 	quiet     bool        // no further steps: the rest stays in the journal
 	idleMost  int         // connections to endpoints that may stand idle
 	refused   int         // hand-ins turned away since the last log line
@@ -73,9 +75,9 @@
 	h := &Host{set: c.Settings, relay: relay, table: c.Table, journal: c.Journal, log: c.Log,
 		dialTimeout: c.ConnectTimeout, idleMost: c.IdleMost, start: time.Now(), events: make(chan any, eventRoom),
 		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{},
-		calls: map[*call]struct{}{}, kindBatch: map[string]int{}, kinds: map[int]string{}}
+		calls: map[*call]struct{}{}, kindOf: map[string]policy.Kind{}, kinds: map[int]string{}}
 	for _, k := range c.Settings.Kinds {
-		h.kindBatch[k.Name] = k.Batch
+		h.kindOf[k.Name] = k
 	}
 	h.lastStep = -c.Settings.Tick
 	h.poolNews(c.Known, policy.ListRestored)
@@ -166,7 +168,7 @@
 func (h *Host) due() bool { return !h.quiet && len(h.pending)+len(h.arrivals) > 0 }
 
 // stepAt is when the next step may come.
-func (h *Host) stepAt() policy.Time { return max(h.lastStep+h.set.Tick, h.firstBy) }
+func (h *Host) stepAt() policy.Time { return max(h.lastStep+h.set.Tick, h.firstBy, h.holdTil) }
 
 // next is when the loop has to look again without an event.
 func (h *Host) next() policy.Time {
@@ -349,8 +351,8 @@
 			Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate})
 	}
 	h.pending = append(h.pending, whole)
-	for _, g := range h.gates {
-		h.firstBy = max(h.firstBy, now+time.Until(time.Unix(0, g.until.Load())))
+	for _, ep := range h.endpoints {
+		h.holdTil = max(h.holdTil, now+time.Until(time.Unix(0, ep.gate.until.Load())))
 	}
 	for cl := range h.calls {
 		for i := range cl.items {
@@ -375,7 +377,7 @@
 		return calls
 	}
 	cl := open[a.Endpoint]
-	if cl != nil && len(cl.items) < h.kindBatch[h.kinds[m.Dest]] && cl.size+itemSize(m) > maxBody {
+	if cl != nil && len(cl.items) < h.kindOf[h.kinds[m.Dest]].Batch && cl.size+itemSize(m) > maxBody {
 		// Guards against a batch whose body is longer than any body may be: it takes a slot of its own, if
 		// there is one.
 		if cl = nil; len(h.calls)+len(calls) >= h.set.Slots {
@@ -384,11 +386,11 @@
 			return calls
 		}
 	}
-	if cl == nil || len(cl.items) >= max(1, h.kindBatch[h.kinds[m.Dest]]) {
+	if cl == nil || len(cl.items) >= max(1, h.kindOf[h.kinds[m.Dest]].Batch) {
 		cl = &call{ep: ep, began: now}
 		open[a.Endpoint], calls = cl, append(calls, cl)
 	}
-	m.Out = &memory.Out{Step: m.Steps, Endpoint: a.Endpoint, At: now, WallAt: wall}
+	m.Out = &memory.Out{Step: m.Steps, WallAt: wall}
 	m.Steps++
 	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, body: m.Body}
 	if left := m.Deadline.Sub(wall); a.Timeout >= left-h.set.Tick {
@@ -443,7 +445,7 @@
 			h.spare()
 		}
 	}
-	if e.err != nil && h.log.Enabled(nil, slog.LevelDebug) {
+	if e.err != nil && h.log.Enabled(context.Background(), slog.LevelDebug) {
 		h.log.Debug("route step failed", "endpoint", e.call.ep.id, "dest", e.call.ep.dest, "messages", len(e.call.items),
 			"after", now-e.call.began, "err", e.err)
 	}
@@ -545,8 +547,10 @@
 			ep.closeIdle()
 		}
 		g := h.gates[mb.Destination]
-		if g == nil {
-			g = &gate{}
+		if ep != nil && ep.dest == mb.Destination {
+			g = ep.gate
+		} else if g == nil || h.kindOf[mb.Kind].SeparateRoutes {
+			g = &gate{} // where routes are apart, a wait binds the one endpoint
 			h.gates[mb.Destination] = g
 		}
 		ep = &endpoint{id: mb.Address, addr: mb.HostPort, dest: mb.Destination, gate: g}
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -333,6 +333,29 @@
 	}
 }
 
+// A wait binds all endpoints of a destination, but only the one where routes are apart; a module that starts
+// anew sends nothing before its end.
+func TestGates(t *testing.T) {
+	h := bare(t)
+	h.kindOf["apart"] = policy.Kind{Name: "apart", Batch: 1, SeparateRoutes: true}
+	for id, kind := range map[string]string{"s-2": "broker", "a-1": "apart", "a-2": "apart"} {
+		dest := map[string]int{"broker": 7, "apart": 9}[kind]
+		h.member(memory.Member{HostPort: "127.0.0.1:1", Endpoint: policy.Endpoint{Address: id, Destination: dest, Kind: kind}})
+	}
+	h.endpoints["s-1"].gate.hold(time.Hour)
+	h.endpoints["a-1"].gate.hold(time.Hour)
+	h.member(memory.Member{HostPort: "127.0.0.1:9", Endpoint: policy.Endpoint{Address: "a-1", Destination: 9, Kind: "apart"}})
+	for id, closed := range map[string]bool{"s-1": true, "s-2": true, "a-1": true, "a-2": false} {
+		if h.endpoints[id].gate.closed() != closed {
+			t.Errorf("%s: closed %v", id, !closed)
+		}
+	}
+	h.rebuild(h.now())
+	if h.poolNews(memory.PoolConfig{}, policy.ListChanges); h.stepAt() < 59*time.Minute {
+		t.Errorf("steps from %v on", h.stepAt())
+	}
+}
+
 // A watch survives errors and goes on from what it has; a line of a notice that can't be read holds up no other.
 func TestAgentInTrouble(t *testing.T) {
 	var mu sync.Mutex
