--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -396,6 +396,7 @@
 	if left := m.Deadline.Sub(wall); a.Timeout >= left-h.set.Tick {
 		it.until = now + left
 	}
+	// A batch lasts as long as its most patient message: to end one earlier would leave a live call behind it.
 	cl.timeout = max(cl.timeout, a.Timeout)
 	cl.items, cl.size = append(cl.items, it), cl.size+itemSize(m)
 	return calls
