--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	front := wire.NewFront(ln, &c.Settings, c.Sockets/2, host.Events(), log)
+	front := wire.NewFront(ln, &c.Settings, max(1, c.Sockets/2), host.Events(), log)
 	host.Watch(c.Discovery)
 	ended := make(chan struct{})
 	done := make(chan struct{})
