Try all endpoints of a destination again after an outage, at the ramp's own pace

Also tests for silent crowds, unfinished and contradicting requests, unknown destinations, ids that are over, late news of a replaced watch.

--- a/internal/memory/pool_test.go
+++ b/internal/memory/pool_test.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"strconv"
 	"testing"
 
 	"oatfold/policy"
@@ -26,3 +27,17 @@
 		}
 	}
 }
+
+// The ids of messages that are over are kept, but not without bound.
+func TestOver(t *testing.T) {
+	tab := NewTable()
+	for i := range 3 * overMost {
+		m := &Message{Num: tab.Next(), ID: strconv.Itoa(i)}
+		tab.Add(m)
+		tab.Remove(m)
+	}
+	if !tab.Over(strconv.Itoa(3*overMost-1)) || !tab.Over(strconv.Itoa(2*overMost)) || tab.Over(strconv.Itoa(2*overMost-1)) ||
+		len(tab.over) != overMost || len(tab.order) != overMost {
+		t.Errorf("%d kept, %d in order", len(tab.over), len(tab.order))
+	}
+}
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -87,7 +87,9 @@
 				switch e := e.(type) {
 				case handIn:
 					v := verdict{known: h.known[e.msg.ID], retry: time.Second}
-					if !v.known && h.taken < h.room {
+					if e.msg.Dest == 404 {
+						v = verdict{nowhere: true}
+					} else if !v.known && h.taken < h.room {
 						h.taken, h.last, h.known[e.msg.ID], v = h.taken+1, string(e.msg.Body), true, verdict{taken: true}
 					}
 					e.reply <- v
@@ -112,6 +114,7 @@
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7}, uint8(3))
 	f.Add([]byte{1, 1, 8, 1, 9, 1, 10, 1, 11, 1, 12, 13, 1, 14, 1, 15}, uint8(1))
 	f.Add([]byte{23, 1, 22, 1, 21, 5, 20, 19, 18}, uint8(90))
+	f.Add([]byte{24, 1, 25, 26, 27, 1, 28, 29, 30, 31, 1}, uint8(40))
 	f.Add([]byte{1, 16, 17, 1, 18, 19, 20, 1, 1, 1, 1, 1, 1}, uint8(255))
 	f.Fuzz(func(t *testing.T, steps []byte, split uint8) {
 		const room = 4
@@ -170,6 +173,14 @@
 				{"GET /" + strings.Repeat("x", maxLine) + " HTTP/1.1\r\n\r\n", 431, false},
 				{"GET /ready HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", maxFields+1) + "\r\n", 431, false},
 				{good(id, strings.Repeat("b", maxBody)), accepted, true},
+				{post("", "X-Correlation-Id: other\r\n"), 400, true},
+				{post("", "X-Time-Left-Ms: 481\r\n"), 400, true},
+				{post("", "Envelope: dest=7\r\n"), accepted, true},
+				{post("", "Envelope: dest=8\r\n"), 400, true},
+				{strings.Replace(good(id, "body"), "dest=7", "dest=7;dest=8", 1), 400, true},
+				{strings.Replace(good(id, "body"), "dest=7", "dest=404", 1), 400, true}, // in no pool config
+				{strings.Replace(good(id, "body"), "480", "99999999", 1), 400, true},
+				{post("POST /order HTTP/1.1", "Idempotency-Key: \x7f\r\n"), 400, true},
 			}
 			m := model[int(s)%len(model)]
 			at := int(split) % len(m.send)
@@ -275,3 +286,42 @@
 		t.Errorf("the oldest is still open: %v", err)
 	}
 }
+
+// A crowd that connects and says nothing is closed, and does not keep a client that asks from being answered.
+func TestSilentCrowd(t *testing.T) {
+	front, _, ln := startFront(t, 8, 4)
+	front.Ready(true)
+	var crowd []*bufio.Reader
+	for range 12 {
+		_, r := dial(t, ln)
+		crowd = append(crowd, r)
+	}
+	c, r := dial(t, ln)
+	io.WriteString(c, "GET /ready HTTP/1.1\r\n\r\n")
+	if a, err := readStatus(r); err != nil || a.status != 200 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	for _, r := range crowd {
+		if _, err := r.ReadByte(); err != io.EOF {
+			t.Fatalf("still open: %v", err)
+		}
+	}
+}
+
+// Half a request and then silence is an error, not a connection for good; so is a kept one without a next request.
+func TestUnfinishedRequests(t *testing.T) {
+	_, _, ln := startFront(t, 8, 10)
+	half, halfR := dial(t, ln)
+	io.WriteString(half, good("half", "hello")[:40])
+	kept, keptR := dial(t, ln)
+	io.WriteString(kept, good("kept", "hello"))
+	if a, err := readStatus(keptR); err != nil || a.status != 202 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	if a, err := readStatus(halfR); err != nil || a.status != 408 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	if _, err := keptR.ReadByte(); err != io.EOF {
+		t.Fatalf("still open: %v", err)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -273,9 +273,11 @@
 	if h.table.ByID(e.msg.ID) != nil || h.table.Over(e.msg.ID) {
 		return verdict{known: true} // the same hand-in once more: it is taken already
 	}
+	// Guards against holding what no endpoint can ever take. Until discovery has told its list, a destination that is
+	// not among the known ones may still come.
 	if _, named := h.kinds[e.msg.Dest]; !named && h.listed {
 		return verdict{nowhere: true}
-	} else if !named {
+	} else if !named && len(h.kinds) > 0 {
 		return h.refuse()
 	}
 	err := error(nil)
@@ -315,6 +317,10 @@
 	if m == nil || m.Owed != nil {
 		return
 	}
+	if h.log.Enabled(context.Background(), slog.LevelDebug) {
+		h.log.Debug("ended by notice", "message", m.ID, "dest", m.Dest, "class", m.Class, "steps", m.Steps, "left", time.Until(m.Deadline),
+			"handed_back", n.Refused, "advice", n.Advice)
+	}
 	h.table.Owe(m, n)
 	if err := h.journal.Owed(h.table, m); err != nil {
 		h.log.Error("notice not recorded", "message", m.ID, "err", err)
@@ -501,9 +507,9 @@
 			h.spare()
 		}
 	}
-	if e.err != nil && h.log.Enabled(context.Background(), slog.LevelDebug) {
-		h.log.Debug("route step failed", "endpoint", e.call.ep.id, "dest", e.call.ep.dest, "messages", len(e.call.items),
-			"after", now-e.call.began, "err", e.err)
+	if h.log.Enabled(context.Background(), slog.LevelDebug) {
+		h.log.Debug("route step", "endpoint", e.call.ep.id, "dest", e.call.ep.dest, "messages", len(e.call.items),
+			"after", now-e.call.began, "wait", e.wait, "ends", e.ends, "out", len(h.calls), "held", h.table.Live(), "err", e.err)
 	}
 	for i := range e.call.items {
 		h.itemEnded(&e.call.items[i], e, e.ends[i], now)
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -427,3 +427,34 @@
 		t.Errorf("taken %q", taken)
 	}
 }
+
+// A hand-in for a destination that no list has named is nobody's, or not yet known while no list was told; the id of
+// a message that is over is taken already; and news of a watch that a reload has ended changes nothing.
+func TestHandInsAndNewsThatDoNotCount(t *testing.T) {
+	h := bare(t)
+	ask := func(id string, dest int) verdict {
+		return h.handIn(handIn{msg: &memory.Message{ID: id, Class: "alert", Dest: dest, Deadline: time.Now().Add(time.Hour)}})
+	}
+	if v := ask("a", 8); v.taken || v.nowhere || v.retry == 0 {
+		t.Errorf("before the list: %+v", v)
+	}
+	known, _ := memory.ParsePoolConfig(pool("127.0.0.1:1", "in_service", 2))
+	old, end := context.WithCancel(context.Background())
+	defer end()
+	h.watching = context.Background()
+	h.take(poolNews{known, old})
+	if h.listed {
+		t.Error("late news of another watch counts")
+	}
+	h.take(poolNews{known, h.watching})
+	if v := ask("a", 8); !v.nowhere {
+		t.Errorf("nowhere: %+v", v)
+	}
+	if v := ask("a", 7); !v.taken {
+		t.Errorf("first: %+v", v)
+	}
+	h.over(h.table.ByID("a"))
+	if v := ask("a", 7); v.taken || !v.known {
+		t.Errorf("over: %+v", v)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -502,6 +502,9 @@
 	if l.gap < r.set.Tick {
 		l.gap = 0
 	}
+	if l.state != out {
+		l.calmGap = l.gap
+	}
 	if l.latency == 0 {
 		l.latency, l.recent = took, took
 	}
@@ -572,6 +575,12 @@
 		r.enterOut(l)
 	case l.state == out && l.run == 0:
 		l.state, l.rampAt = ramping, r.now
+		// Risk: an outage takes all endpoints, and its failures keep the work on the one that answered first,
+		// with the long slot of the trickle: coldGap alone bounds what a line that is back is sent.
+		l.gap = min(l.gap, l.calmGap)
+		for _, ep := range l.eps {
+			ep.fails = 0
+		}
 	case l.state == ramping && (l.hardRun >= outageRun || l.hardRun > 0 && l.bad > outageShare):
 		l.state = out
 	case l.state == ramping && r.now-l.rampAt > r.set.ColdTime:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1062,3 +1062,47 @@
 		}
 	}
 }
+
+// Risk: the endpoint of a destination that answers first after an outage gets all the work for half a minute, at the
+// pace of the trickle.
+func TestAllEndpointsServeAfterAnOutage(t *testing.T) {
+	b := start(t, nil)
+	used, out := map[string]int{}, map[int][]Event{} // out: ends of calls, by step
+	for i := range 3000 {                            // 15 s: well, then out from 2 s to 8 s
+		events := out[i]
+		if i%20 == 0 && len(b.r.held) < 40 {
+			events = append(events, b.msg("safe", 1, ""))
+		}
+		for _, s := range pick[Send](b.after(5*ms, events...)) {
+			o, at := end(s.ID, b.r.msgs[s.ID].tries-1, ConnectFailed), i+1
+			if now := b.now - sec; now < 2*sec || now > 8*sec {
+				o.Outcome, o.Final, at = Delivered, true, i+60
+				if now > 8*sec {
+					used[s.Endpoint]++
+				}
+			}
+			out[at] = append(out[at], o)
+		}
+	}
+	if used["p1"] < 5 || used["p2"] < 5 {
+		t.Errorf("after the outage: %v", used)
+	}
+}
+
+// New settings reach what is there: messages keep their class, destinations their kind, and both have the new figures.
+func TestReconfigure(t *testing.T) {
+	b := start(t, nil)
+	b.sent(b.step(b.msg("safe", 2, "")), 1)
+	s := testSettings()
+	s.Classes[0].Window, s.Kinds[1].Batch, s.Slots, s.MaxAttempts = 9*sec, 7, 1, 2
+	if err := b.r.Reconfigure(s); err != nil {
+		t.Fatal(err)
+	}
+	if m := b.r.msgs[1]; m.class.Window != 9*sec || m.dest.kind.Batch != 7 || b.r.calls != 1 {
+		t.Errorf("class %+v, kind %+v, %d calls", m.class, m.dest.kind, b.r.calls)
+	}
+	b.sent(b.after(sec, b.msg("safe", 1, ""))) // the one slot is taken
+	if s.Slots = 0; b.r.Reconfigure(s) == nil || b.r.set.Slots != 1 {
+		t.Error("settings that can't work are in force")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,6 +76,7 @@
 	eps              []*endpoint
 	calls            []*call
 	gap              time.Duration // the slot's length
+	calmGap          time.Duration // and as of the last success outside an outage
 	claimed, grownAt Time
 	refusedAt        Time
 	jitter           float64
