End each message of a batch in its own time, however long the call stays out

Also: what was handed in again while its first 202 failed is kept (take), and an id whose client never heard of it may be taken on anew; descriptors are shared out with the slots counted in (sockets); at a stop, steps go on to 2.5 s, repeatable ones to 3.1 s (were 2 s).

--- a/cmd/oatfold/main.go
+++ b/cmd/oatfold/main.go
@@ -12,7 +12,7 @@
 )
 
 // version is set by the build of a release.
-var version = "0.1.0"
+var version = "0.2.0"
 
 func main() {
 	var level slog.Level
--- a/cmd/oatfold/main_test.go
+++ b/cmd/oatfold/main_test.go
@@ -276,7 +276,7 @@
 	}
 }
 
-// Killed outright again and again while messages come in: each that was told 202 ends, and no charge is sent twice.
+// Killed outright again and again while messages come in and the configuration is reloaded: each that was told 202 ends, and no charge is sent twice.
 func TestKilledAtAnyMoment(t *testing.T) {
 	s := newSite(t)
 	s.release()
@@ -296,6 +296,9 @@
 			if s.ask(hand([]string{"fee-charge", "order-relay", "price-alert"}[n%3], id, "7", 19000)) == "202" {
 				taken = append(taken, id)
 			}
+			if n == 2*round {
+				cmd.Process.Signal(syscall.SIGHUP)
+			}
 			if n >= 5*round { // and on, while the kill is on its way
 				kill()
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,8 @@
 // The course of a planned stop, from SIGTERM on. SIGKILL follows after 3.7 s at the earliest.
 const (
 	serveOn  = 450 * time.Millisecond  // new connections keep coming for so long
-	stepOn   = 2000 * time.Millisecond // then no route step begins
+	riskOn   = 2500 * time.Millisecond // then no route step begins whose end is needed: it may not be repeated
+	stepOn   = 3100 * time.Millisecond // then none begins at all
 	leaveBy  = 3450 * time.Millisecond // what is out by then may have run
 	lookTurn = 20 * time.Millisecond
 )
@@ -27,12 +28,17 @@
 // memoryShare of the limit is what the garbage collector aims to stay under.
 const memoryShare = 0.6
 
-// idleShare of the descriptors may be idle connections to endpoints, clientShare may be clients' connections: they
-// use a third, the rest is room for crowds that say nothing.
-const (
-	idleShare   = 0.25
-	clientShare = 0.5
-)
+// ownFiles is what descriptors the process needs for itself: standard ones, journal, poll, listener, discovery.
+const ownFiles = 24
+
+// sockets shares the descriptors out: besides its own files and a connection for each slot, up to a quarter may be idle
+// connections to endpoints and up to half clients' connections. Clients use a third, the rest is for crowds that say
+// nothing. Guards against calls that fail for want of a descriptor, where slots are many.
+func sockets(c *config.Config) (clients, idle int) {
+	rest := max(2, c.Sockets-ownFiles-c.Settings.Slots)
+	idle = min(c.Sockets/4, rest/3)
+	return max(1, min(c.Sockets/2, rest-idle)), idle
+}
 
 // Run serves until SIGTERM or SIGINT. SIGHUP makes it call load again and go on with what that returns.
 func Run(load func() (*config.Config, error), log *slog.Logger) error {
@@ -58,7 +64,8 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	front := wire.NewFront(ln, &c.Settings, clients(c), host.Events(), log)
+	clients, _ := sockets(c)
+	front := wire.NewFront(ln, &c.Settings, clients, host.Events(), log)
 	host.Watch(c.Discovery)
 	ended := make(chan struct{})
 	done := make(chan struct{})
@@ -81,11 +88,10 @@
 
 func memoryAim(c *config.Config) int64 { return int64(float64(c.MemoryBytes) * memoryShare) }
 
-func clients(c *config.Config) int { return max(1, int(float64(c.Sockets)*clientShare)) }
-
 func hostConfig(c *config.Config) wire.HostConfig {
+	_, idle := sockets(c)
 	return wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout, Reports: c.Reports,
-		IdleMost: int(float64(c.Sockets) * idleShare), Known: c.Known, DiskBytes: c.DiskBytes}
+		IdleMost: idle, Known: c.Known, DiskBytes: c.DiskBytes}
 }
 
 // reload puts the configuration as it is now in force and returns it. Guards against a file that is wrong or half
@@ -105,7 +111,8 @@
 		c.Listen = old.Listen
 	}
 	debug.SetMemoryLimit(memoryAim(c))
-	front.Configure(&c.Settings, clients(c))
+	clients, _ := sockets(c)
+	front.Configure(&c.Settings, clients)
 	log.Info("reloaded", "discovery", c.Discovery, "slots", c.Settings.Slots, "held_most", c.Settings.MaxHeld)
 	return c
 }
@@ -117,12 +124,16 @@
 	log.Info("stopping")
 	time.Sleep(serveOn)
 	front.Drain()
-	quiet := false
+	leaving, quiet := false, false
 	for time.Since(began) < leaveBy {
 		held, out := host.Load()
 		if out == 0 && front.Busy() == 0 && (held == 0 || quiet) {
 			break
 		}
+		if !leaving && time.Since(began) >= riskOn {
+			host.Leave()
+			leaving = true
+		}
 		if !quiet && time.Since(began) >= stepOn {
 			host.Quiet()
 			quiet = true
--- a/internal/memory/table.go
+++ b/internal/memory/table.go
@@ -1,7 +1,10 @@
 // Package memory holds what a relay keeps: the message table, the pool config and the journal.
 package memory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Message is one message that the relay owes its end, or has a route step out for.
 type Message struct {
@@ -16,6 +19,7 @@
 	Steps  int       // route steps begun, also in earlier lives
 	RiskAt time.Time // when the first step that may have run began; zero: none
 	New    bool      // its client has not been answered yet
+	Asked  bool      // it was handed in once more
 	Out    *Out      // the step that is out
 	Owed   *Notice   // the notice that is still to be taken by the platform
 }
@@ -116,6 +120,17 @@
 	return there
 }
 
+// Forget drops id from those that are over: it may be taken on anew.
+func (t *Table) Forget(id string) {
+	if _, there := t.over[id]; !there {
+		return
+	}
+	delete(t.over, id)
+	if i := slices.Index(t.order, id); i >= 0 {
+		t.order[i] = "" // its place stays until its turn
+	}
+}
+
 // Live counts the messages that are not ended.
 func (t *Table) Live() int { return t.live }
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -240,8 +240,12 @@
 			return
 		} else if e.told {
 			m.New, h.arrivals = false, append(h.arrivals, m)
+		} else if m.Asked {
+			// Guards against losing what was handed in again meanwhile, and answered as taken.
+			m.New, h.arrivals = false, append(h.arrivals, m)
 		} else {
 			h.over(m) // the client never heard of it, and may hand it in again
+			h.table.Forget(m.ID)
 		}
 	case callEnded:
 		h.callEnded(e)
@@ -270,7 +274,10 @@
 
 // handIn takes a message on: it is in the journal before its client hears of it.
 func (h *Host) handIn(e handIn) verdict {
-	if h.table.ByID(e.msg.ID) != nil || h.table.Over(e.msg.ID) {
+	if m := h.table.ByID(e.msg.ID); m != nil || h.table.Over(e.msg.ID) {
+		if m != nil {
+			m.Asked = true
+		}
 		return verdict{known: true} // the same hand-in once more: it is taken already
 	}
 	// Guards against holding what no endpoint can ever take. Until discovery has told its list, a destination that is
@@ -450,10 +457,9 @@
 	}
 	m.Out = &memory.Out{Step: m.Steps, WallAt: wall}
 	m.Steps++
-	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, body: m.Body}
-	if left := m.Deadline.Sub(wall); a.Timeout >= left-h.set.Tick {
-		it.until = now + left
-	}
+	// Guards against a message whose time is up while a more patient one keeps the call out, however short its own
+	// time-out was.
+	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, body: m.Body, until: now + m.Deadline.Sub(wall)}
 	// A batch lasts as long as its most patient message: to end one earlier would leave a live call behind it.
 	cl.timeout = max(cl.timeout, a.Timeout)
 	cl.items, cl.size = append(cl.items, it), cl.size+itemSize(m)
@@ -508,7 +514,7 @@
 		}
 	}
 	if h.log.Enabled(context.Background(), slog.LevelDebug) {
-		h.log.Debug("route step", "endpoint", e.call.ep.id, "dest", e.call.ep.dest, "messages", len(e.call.items),
+		h.log.Debug("route step", "endpoint", e.call.ep.id, "dest", e.call.ep.dest, "messages", e.call.ids(),
 			"after", now-e.call.began, "wait", e.wait, "ends", e.ends, "out", len(h.calls), "held", h.table.Live(), "err", e.err)
 	}
 	for i := range e.call.items {
@@ -685,6 +691,9 @@
 	<-done
 }
 
+// Leave tells the module that the process ends soon: what may not be repeated waits for the next start.
+func (h *Host) Leave() { h.Do(func(h *Host) { h.pending = append(h.pending, policy.Stopping{}) }) }
+
 // Quiet ends the steps: calls out are still finished, the rest stays in the journal.
 func (h *Host) Quiet() { h.Do(func(h *Host) { h.quiet = true }) }
 
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -272,7 +272,7 @@
 	wall := time.Now()
 	short.Deadline = wall.Add(time.Second)
 	open := map[string]*call{}
-	calls := h.send(0, wall, policy.Send{ID: short.Num, Endpoint: "s-1", Timeout: time.Second}, open, nil)
+	calls := h.send(0, wall, policy.Send{ID: short.Num, Endpoint: "s-1", Timeout: time.Second / 2}, open, nil) // less than it has left
 	calls = h.send(0, wall, policy.Send{ID: long.Num, Endpoint: "s-1", Timeout: 3 * time.Second}, open, calls)
 	cl := calls[0]
 	h.pending = nil
@@ -453,7 +453,21 @@
 	if v := ask("a", 7); !v.taken {
 		t.Errorf("first: %+v", v)
 	}
-	h.over(h.table.ByID("a"))
+	m := h.table.ByID("a") // handed in again before the first answer failed: it was answered as taken, and is kept
+	if v := ask("a", 7); !v.known {
+		t.Errorf("again: %+v", v)
+	}
+	if h.take(handedIn{m.Num, false}); h.table.ByID("a") != m {
+		t.Error("lost what was answered as taken")
+	}
+	if v := ask("b", 7); !v.taken {
+		t.Errorf("other: %+v", v)
+	}
+	h.take(handedIn{h.table.ByID("b").Num, false})
+	if v := ask("b", 7); !v.taken { // nobody heard of it the first time
+		t.Errorf("anew: %+v", v)
+	}
+	h.over(m)
 	if v := ask("a", 7); v.taken || !v.known {
 		t.Errorf("over: %+v", v)
 	}
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -121,6 +121,14 @@
 	deadline time.Time
 }
 
+// ids names the messages of the call.
+func (cl *call) ids() (ids []string) {
+	for i := range cl.items {
+		ids = append(ids, cl.items[i].id)
+	}
+	return ids
+}
+
 // end is how one item of a call ended.
 type end struct {
 	outcome policy.Outcome
--- a/policy/api.go
+++ b/policy/api.go
@@ -148,6 +148,10 @@
 // Withdrawn says that nothing more is owed for a message.
 type Withdrawn struct{ ID uint32 }
 
+// Stopping says that the process ends soon: no attempt begins any more that may not be repeated, since one
+// that is cut off may have run.
+type Stopping struct{}
+
 // Woke answers a WakeAfter.
 type Woke struct{}
 
@@ -172,6 +176,7 @@
 func (Ended) event()     {}
 func (Withdrawn) event() {}
 func (Woke) event()      {}
+func (Stopping) event()  {}
 func (ListNews) event()  {}
 
 // Action is something that a relay wants done: one of the types below.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -112,6 +112,8 @@
 			}
 		case Woke:
 			r.wakeAt = 0 // Risk: a timer that fires a little early would be the last one
+		case Stopping:
+			r.stopping = true
 		case ListNews:
 			r.listNews(e)
 		}
@@ -756,7 +758,7 @@
 }
 
 func (r *Relay) eligible(m *message) bool {
-	if !r.mayRepeat(m) {
+	if !r.mayRepeat(m) || r.stopping && m.class.Effect == Unsafe {
 		return false
 	}
 	k := m.key
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1089,6 +1089,13 @@
 	}
 }
 
+// Before the process ends, what may not be repeated waits for the next start; what may goes on.
+func TestStopping(t *testing.T) {
+	b := start(t, nil)
+	b.step(Stopping{})
+	b.sent(b.after(sec, b.msg("unsafe", 1, "k"), b.msg("safe", 4, "")), 2)
+}
+
 // New settings reach what is there: messages keep their class, destinations their kind, and both have the new figures.
 func TestReconfigure(t *testing.T) {
 	b := start(t, nil)
--- a/policy/state.go
+++ b/policy/state.go
@@ -113,6 +113,7 @@
 	rng             *rand.Rand
 	now, wakeAt     Time
 	booted          bool
+	stopping        bool
 	classes         map[string]*Class
 	tenants         map[string]*tenant
 	kinds           map[string]*Kind
