--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -47,7 +47,8 @@
 	gates     map[int]*gate
 	calls     map[*call]struct{}
 	kindOf    map[string]policy.Kind
-	kinds     map[int]string // of destinations
+	unsafe    map[string]bool // classes that must not run twice
+	kinds     map[int]string  // of destinations
 	lastStep  policy.Time
 	wakeAt    policy.Time // 0: none asked for
 	upkeepAt  policy.Time
@@ -84,9 +85,7 @@
 		reports: c.Reports, dialTimeout: c.ConnectTimeout, idleMost: c.IdleMost, start: time.Now(), events: make(chan any, eventRoom),
 		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{},
 		calls: map[*call]struct{}{}, kindOf: map[string]policy.Kind{}, kinds: map[int]string{}}
-	for _, k := range c.Settings.Kinds {
-		h.kindOf[k.Name] = k
-	}
+	h.name(c.Settings)
 	h.lastStep = -c.Settings.Tick
 	h.poolNews(c.Known, policy.ListRestored)
 	h.firstBy = listPatience
@@ -94,6 +93,17 @@
 	return h, nil
 }
 
+// name keeps what is looked up by name.
+func (h *Host) name(s policy.Settings) {
+	h.unsafe = map[string]bool{}
+	for _, c := range s.Classes {
+		h.unsafe[c.Name] = c.Effect == policy.Unsafe
+	}
+	for _, k := range s.Kinds {
+		h.kindOf[k.Name] = k
+	}
+}
+
 // Events is where connections report.
 func (h *Host) Events() chan<- any { return h.events }
 
@@ -124,9 +134,7 @@
 			return
 		}
 		h.set, h.reports, h.dialTimeout, h.idleMost = c.Settings, c.Reports, c.ConnectTimeout, c.IdleMost
-		for _, k := range c.Settings.Kinds {
-			h.kindOf[k.Name] = k
-		}
+		h.name(c.Settings)
 		h.journal.Resize(c.DiskBytes)
 		h.follow(discovery)
 		h.pending = append(h.pending, policy.Woke{})
@@ -461,7 +469,9 @@
 	// time-out was.
 	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, body: m.Body, until: now + m.Deadline.Sub(wall)}
 	// A batch lasts as long as its most patient message: to end one earlier would leave a live call behind it.
-	cl.timeout = max(cl.timeout, a.Timeout)
+	if cl.timeout = max(cl.timeout, a.Timeout); h.unsafe[m.Class] {
+		cl.careful = lookFor
+	}
 	cl.items, cl.size = append(cl.items, it), cl.size+itemSize(m)
 	return calls
 }
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -48,7 +48,7 @@
 // Outcome is what the module is told.
 func (e *StepError) Outcome() policy.Outcome {
 	switch {
-	case errors.Is(e.Err, errHeldBack):
+	case errors.Is(e.Err, errHeldBack), errors.Is(e.Err, errCutOff):
 		return policy.Unsent
 	case e.NeverRan():
 		return policy.ConnectFailed
@@ -74,6 +74,10 @@
 // errHeldBack ends a call whose destination told a wait, or whose endpoint was drained, while it was dialled.
 var errHeldBack = errors.New("destination may not be sent to now")
 
+// errCutOff ends a call whose connection ended, or spoke, before the last byte was written. It tells of that connection, not of
+// the endpoint's health.
+var errCutOff = errors.New("connection cut before the last byte")
+
 // gate is what the connections of a destination share: until when it must not be sent to.
 type gate struct{ until atomic.Int64 }
 
@@ -117,6 +121,7 @@
 	items    []item
 	size     int // bytes that the body of a batch takes, at most
 	began    policy.Time
+	careful  time.Duration // how long to look whether the connection holds before the last byte; 0: not at all
 	timeout  time.Duration
 	deadline time.Time
 }
@@ -224,10 +229,28 @@
 	}
 	c.sock.SetDeadline(cl.deadline)
 	c.buf = appendCall(c.buf[:0], cl)
-	if _, err := c.sock.Write(c.buf); err != nil {
+	last := len(c.buf)
+	if cl.careful > 0 {
+		last--
+	}
+	if _, err := c.sock.Write(c.buf[:last]); err != nil {
 		fail(err)
 		return res
 	}
+	if cl.careful > 0 {
+		// Guards against losing a charge to a connection that is reset as its request comes: until the last byte is
+		// written, the call has not run and may be made again.
+		c.sock.SetReadDeadline(time.Now().Add(cl.careful))
+		if _, err := c.r.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			fail(errCutOff)
+			return res
+		}
+		c.sock.SetReadDeadline(cl.deadline)
+		if _, err := c.sock.Write(c.buf[last:]); err != nil {
+			fail(err)
+			return res
+		}
+	}
 	stage = Written
 	a, err := readStatusWith(c.r, func() {
 		// Guards against a head or a body that never ends: once an answer has begun, all of it follows at once,
@@ -264,6 +287,7 @@
 
 const (
 	restLimit = 500 * time.Millisecond // for the rest of an answer, from its first line on
+	lookFor   = 4 * time.Millisecond   // before the last byte of what must not run twice, whether the connection holds
 	settle    = 10 * time.Millisecond  // from an answer to the next call on its connection
 	maxWaitMs = 600_000                // Guards against a wait that overflows
 )
--- a/internal/wire/route_test.go
+++ b/internal/wire/route_test.go
@@ -222,3 +222,39 @@
 		t.Errorf("panic: %+v", got)
 	}
 }
+
+// A connection that is reset, or speaks, as the request of a charge comes proves that it never ran; one that holds gets
+// the last byte.
+func TestCareful(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		close  bool
+		look   time.Duration // a minute is a bound for a hang, not a measure
+		want   policy.Outcome
+	}{"holds": {rep("200 OK", ""), false, time.Millisecond, policy.Delivered}, "cut": {"", true, time.Minute, policy.Unsent},
+		"speaks": {rep("200 OK", ""), true, time.Minute, policy.Unsent}} {
+		ln, read := listen(t), make(chan string, 1)
+		go func() {
+			sock, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer sock.Close()
+			b := make([]byte, maxLine)
+			n, _ := sock.Read(b) // all but the last byte: it comes only when the connection was seen to hold
+			if !c.close {
+				m, _ := io.ReadAtLeast(sock, b[n:], 1)
+				n += m
+			}
+			read <- string(b[:n])
+			io.WriteString(sock, c.answer)
+		}()
+		ep := &endpoint{addr: ln.Addr().String(), gate: &gate{}}
+		rc := &routeConn{ep: ep, dialTimeout: time.Minute}
+		res := rc.carry(&call{ep: ep, careful: c.look, items: []item{{id: "a", body: []byte("hello")}}, deadline: time.Now().Add(2 * time.Minute)})
+		rc.drop()
+		if got := <-read; res.ends[0].outcome != c.want || strings.HasSuffix(got, "hello") == c.close {
+			t.Errorf("%s: outcome %v, %v; read %q", name, res.ends[0].outcome, res.err, got)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -837,12 +837,17 @@
 	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || l.hardRun == 0
 }
 
-// cap is the line's in-flight share: three quarters of the slots, half while it fails or slows.
+// cap is the line's in-flight share: three quarters of the slots, half while it fails or slows, a quarter
+// while slots are short besides.
 func (r *Relay) cap(l *line) int {
 	switch {
 	case l.state == out:
 		return 1
 	case l.state == ramping || l.hardRun > 0 || l.slow() || r.doubt(l):
+		// Risk: two destinations that slow take all slots, and each message for the others is late.
+		if r.short > 0 {
+			return max(1, r.set.Slots/4)
+		}
 		return max(1, r.set.Slots/2)
 	}
 	return max(1, r.set.Slots*3/4)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1113,3 +1113,17 @@
 		t.Error("settings that can't work are in force")
 	}
 }
+
+// Risk: a destination that slows holds half of the slots for seconds while all others wait for one.
+func TestSlowDestinationGivesWayWhileSlotsAreShort(t *testing.T) {
+	b := start(t, nil)
+	b.sent(b.step(b.msg("safe", 1, "")), 1)
+	b.after(100*ms, end(1, 0, Delivered))
+	l := b.r.dests[1].lines[0]
+	if l.recent = 9 * l.latency; b.r.cap(l) != 4 {
+		t.Errorf("slow: cap %d of 8", b.r.cap(l))
+	}
+	if b.r.short = sec; b.r.cap(l) != 2 {
+		t.Errorf("slow while slots are short: cap %d of 8", b.r.cap(l))
+	}
+}
