--- a/policy/api.go
+++ b/policy/api.go
@@ -9,6 +9,7 @@
 type Settings struct {
 	Senders        int           // relays that share the destinations, this one counted
 	Slots          int           // calls this relay may have out at once
+	SlotShare      float64       // most of them that one destination may hold; 0: three quarters
 	MaxHeld        int           // messages it may hold, sent or not
 	MaxAttempts    int           // attempts for one message, unused ones counted
 	AskForList     bool          // endpoint news comes only to those that subscribe
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -850,6 +850,9 @@
 		}
 		return max(1, r.set.Slots/2)
 	}
+	if share := r.set.SlotShare; share > 0 {
+		return max(1, int(float64(r.set.Slots)*share))
+	}
 	return max(1, r.set.Slots*3/4)
 }
 
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -16,6 +16,9 @@
 	if !(s.ColdFrom >= 0 && s.ColdFrom <= 1) {
 		return fmt.Errorf("settings: ColdFrom is %g, must lie within 0 and 1", s.ColdFrom)
 	}
+	if !(s.SlotShare >= 0 && s.SlotShare <= 1) {
+		return fmt.Errorf("settings: SlotShare is %g, must lie within 0 and 1", s.SlotShare)
+	}
 	for _, c := range s.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
 			return fmt.Errorf("settings: class %q has Aim %v and Deadline %v", c.Name, c.Aim, c.Deadline)
