--- /dev/null
+++ b/cmd/oatfold-lab/main.go
@@ -0,0 +1,11 @@
+// Command oatfold-lab is the laboratory, which `oatfold lab` starts. It is a program of its own so that a relay carries none of
+// its libraries.
+package main
+
+import (
+	"os"
+
+	"oatfold/internal/lab/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/cli/journal.go
+++ b/internal/cli/journal.go
@@ -33,14 +33,7 @@
 				in.Segments, in.Bytes, in.Records, len(in.Messages), in.Overs)
 			return nil
 		},
-	}, &cobra.Command{
-		Use: "export DIR", Short: "Print a JSON object for each record, for audits; bodies stay out", Args: one("DIR"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			e := json.NewEncoder(cmd.OutOrStdout())
-			_, err := inspect(args[0], func(r journal.Record) error { return e.Encode(r) })
-			return err
-		},
-	}, &cobra.Command{
+	}, exportCommand(), &cobra.Command{
 		Use: "list DIR", Short: "Print a JSON object for each message that is owed its end", Args: one("DIR"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			in, err := inspect(args[0], nil)
@@ -59,6 +52,23 @@
 	return cmd
 }
 
+func exportCommand() *cobra.Command {
+	var columns string
+	cmd := &cobra.Command{
+		Use: "export DIR", Short: "Print a JSON object for each record, for audits; bodies stay out", Args: one("DIR"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if columns != "" { // the library for such files is not linked into the relay
+				return lab("journal-export", args[0], "--out", columns)
+			}
+			e := json.NewEncoder(cmd.OutOrStdout())
+			_, err := inspect(args[0], func(r journal.Record) error { return e.Encode(r) })
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&columns, "parquet", "", "write a Parquet `file` instead")
+	return cmd
+}
+
 func inspect(dir string, each func(journal.Record) error) (*journal.Inspection, error) {
 	if st, err := os.Stat(dir); err != nil || !st.IsDir() {
 		return nil, fmt.Errorf("%s is no folder", dir)
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -100,7 +100,7 @@
 	for _, cmd := range []*cobra.Command{root, serving} {
 		cmd.Flags().StringVar(&o.operator, "operator", "", "the operator's `file`, in protobuf text format")
 	}
-	root.AddCommand(serving, sendCommand(o), checkCommand(o), pluginCommand(o), journalCommand(), &cobra.Command{Use: "version",
+	root.AddCommand(serving, sendCommand(o), checkCommand(o), pluginCommand(o), journalCommand(), labCommand(), &cobra.Command{Use: "version",
 		Short: "Print the version", Args: noArgs, Run: func(*cobra.Command, []string) { fmt.Println("oatfold", version) }})
 	root.SetArgs(longFlags(args))
 	return root
--- /dev/null
+++ b/internal/lab/command/command_test.go
@@ -0,0 +1,110 @@
+package command
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parquet-go/parquet-go"
+
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+)
+
+func run(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+// The column file has a row for each record and message of a live journal, which stays as it is.
+func TestJournalExport(t *testing.T) {
+	dir := t.TempDir()
+	j, table, err := journal.Open(journal.Config{FS: journal.Dir(dir), Budget: 1 << 20, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	var msgs []*memory.Message
+	for range 3 {
+		m := &memory.Message{Num: table.Next(), ID: "id", Class: "fee-charge", Dest: 7, Deadline: time.Unix(9, 0), Body: []byte("secret")}
+		if err := j.Taken(table, m, false); err != nil {
+			t.Fatal(err)
+		}
+		msgs = append(msgs, m)
+	}
+	j.Out(time.Unix(3, 0), msgs)
+	j.Over(msgs[0], false)
+	if taken, out := j.Commit(); taken != nil || out != nil {
+		t.Fatal(taken, out)
+	}
+	file := filepath.Join(t.TempDir(), "audit.parquet")
+	if code, _, e := run("journal-export", dir, "--out", file); code != 0 {
+		t.Fatal(code, e)
+	}
+	rows, err := parquet.ReadFile[auditRow](file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]int{}
+	for _, r := range rows {
+		kinds[r.Kind]++
+		if r.Kind == "taken" && (r.Dest == nil || *r.Dest != 7 || r.AtUs != 9_000_000) || r.Kind == "out" && r.AtUs != 3_000_000 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if kinds["taken"] != 3 || kinds["out"] != 3 || kinds["over"] != 1 || len(rows) != 7 {
+		t.Errorf("rows: %v", kinds)
+	}
+	if raw, _ := os.ReadFile(file); bytes.Contains(raw, []byte("secret")) {
+		t.Error("a body is in it")
+	}
+	if code, _, e := run("journal-export", filepath.Join(dir, "none"), "--out", file); code != exitError || !strings.Contains(e, "no folder") {
+		t.Errorf("no folder: %d %s", code, e)
+	}
+}
+
+// Exit codes tell what came out: good, worse than allowed, wrong.
+func TestExitCodes(t *testing.T) {
+	lab := "../../../lab/"
+	a, b := t.TempDir(), t.TempDir()
+	for dir, file := range map[string]string{a: lab + "smoke.textproto", b: filepath.Join(b, "half.textproto")} {
+		raw, err := os.ReadFile(lab + "smoke.textproto")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if dir == b { // the same days, and each arm with a third of its slots
+			text := strings.ReplaceAll(string(raw), `"as-is"`, `"as-is" slots_times: 0.3`)
+			abs, _ := filepath.Abs(lab)
+			text = strings.NewReplacer(`"site.`, `"`+rel(t, b, abs)+`/site.`, `"days/`, `"`+rel(t, b, abs)+`/days/`).Replace(text)
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if code, _, e := run("run", file, "--out", dir); code != 0 {
+			t.Fatal(code, e)
+		}
+	}
+	for _, c := range []struct {
+		code int
+		args string
+	}{{0, "compare " + a + " " + a}, {exitWorse, "compare " + a + " " + b}, {0, "compare " + a + " " + b + " --loss 1"}, {exitUsage, "run --nonsense"},
+		{exitError, "day " + lab + "none.textproto"}, {exitError, "compare " + a + " " + t.TempDir()}, {0, "day " + lab + "days/calm.textproto"}} {
+		if code, out, e := run(strings.Fields(c.args)...); code != c.code {
+			t.Errorf("%s: exit code %d, want %d: %s%s", c.args, code, c.code, out, e)
+		}
+	}
+}
+
+func rel(t *testing.T, from, to string) string {
+	t.Helper()
+	r, err := filepath.Rel(from, to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/lab/emu/dest.go
@@ -0,0 +1,316 @@
+package emu
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"oatfold/internal/lab/rules"
+	"oatfold/policy"
+)
+
+// health is what an endpoint's machine does.
+type health int
+
+const (
+	up health = iota
+	crashed
+	vanished
+	shut
+)
+
+// dest is a destination at work.
+type dest struct {
+	no      int
+	spec    *Dest
+	kind    *Kind
+	eps     []*endpoint
+	rng     *rand.Rand
+	work    float64 // seconds of a usual message at speed 1
+	tokens  float64 // of a rate limit
+	tokenAt time.Duration
+	window  time.Duration // where the present window of a window limit began
+	count   float64
+	coldAt  time.Duration // when it came back; cold until coldEnd
+	coldEnd time.Duration
+	sick    int // troubles that it is in now
+	budget  []arrival
+	fallen  bool
+	failed  map[int]bool // relays that saw a failure in the present outage
+}
+
+type arrival struct {
+	at     time.Duration
+	weight float64
+}
+
+// endpoint is one of a destination's endpoints at work.
+type endpoint struct {
+	no       int
+	dest     *dest
+	address  string
+	spec     Endpoint
+	health   health
+	until    time.Duration // when it opens again, if it is shut
+	errs     float64       // share of calls that fail at once
+	slow     float64
+	lost     float64 // share of answers that are lost
+	paused   time.Duration
+	busy     int
+	queue    []*call
+	serving  []*call // in order of their start
+	conns    int
+	gone     bool
+	lives    int // restarts: connections of an earlier life are dead
+	draining bool
+}
+
+// capacity is what its endpoints can do now, in calls of one message a second; the limit lies below it.
+func (d *dest) capacity(now time.Duration) float64 {
+	all := 0.0
+	for _, e := range d.eps {
+		if e.health == up && !e.gone {
+			all += float64(e.spec.Workers) * e.spec.Speed / d.work
+		}
+	}
+	return all * d.warm(now)
+}
+
+// warm is the share of its capacity that a destination has.
+func (d *dest) warm(now time.Duration) float64 {
+	if now >= d.coldEnd {
+		return 1
+	}
+	return d.kind.ColdFrom + (1-d.kind.ColdFrom)*float64(now-d.coldAt)/float64(d.coldEnd-d.coldAt)
+}
+
+// admits tells whether the limit takes one more call.
+func (d *dest) admits(now time.Duration) bool {
+	rate := d.spec.Limit
+	switch d.kind.Limit {
+	case RateLimit:
+		burst := max(1, rate/2)
+		d.tokens = min(burst, d.tokens+rate*(now-d.tokenAt).Seconds())
+		d.tokenAt = now
+		if d.tokens >= 1 {
+			d.tokens--
+			return true
+		}
+		if d.kind.RefusedCount {
+			d.tokens = max(0, d.tokens-1)
+		}
+		return false
+	case WindowLimit:
+		if now >= d.window+d.kind.Window {
+			d.window, d.count = now-(now-d.window)%d.kind.Window, 0
+		}
+		if d.count+1 <= rate*d.kind.Window.Seconds() {
+			d.count++
+			return true
+		}
+		if d.kind.RefusedCount {
+			d.count++
+		}
+		return false
+	}
+	return true
+}
+
+// opens is when a refused call would find room.
+func (d *dest) opens(now time.Duration) time.Duration {
+	switch d.kind.Limit {
+	case RateLimit:
+		return seconds(max(0, 1-d.tokens) / d.spec.Limit)
+	case WindowLimit:
+		return d.window + d.kind.Window - now
+	}
+	return 0
+}
+
+// wait is what a refusal tells, at least so long; 0: nothing.
+func (d *dest) wait(least time.Duration) time.Duration {
+	if d.rng.Float64() >= d.kind.TellsWait {
+		return 0
+	}
+	return max(least, part(d.kind.Wait, 0.7+0.6*d.rng.Float64()))
+}
+
+// arrive is a call whose last byte has come to its endpoint.
+func (w *world) arrive(c *call) {
+	e, d, now := c.ep, c.ep.dest, w.now
+	if c.closed {
+		return // given up on the way
+	}
+	if e.health == vanished {
+		return // nobody hears of it until its time is up
+	}
+	if e.health == crashed || e.lives != c.life || e.gone {
+		w.answer(c, policy.Broken, 0)
+		return
+	}
+	w.reached(d, c.relay, 1+d.kind.ItemCost*float64(len(c.items)-1))
+	switch {
+	case e.health == shut:
+		w.refuse(c, e.until-now)
+	case e.errs > 0 && d.rng.Float64() < e.errs:
+		w.after(part(20*time.Millisecond, 0.5+d.rng.Float64()), func() { w.answer(c, policy.Errored, 0) })
+	case !d.admits(now):
+		w.refuse(c, d.opens(now))
+	case e.busy >= e.spec.Workers && len(e.queue) >= e.spec.Queue:
+		w.refuse(c, 0)
+	case e.busy < e.spec.Workers:
+		w.serve(c)
+	default:
+		e.queue = append(e.queue, c)
+	}
+}
+
+func (w *world) refuse(c *call, least time.Duration) {
+	w.res.RefusedCalls++
+	w.res.Dests[c.ep.dest.no].Refused++
+	w.answer(c, policy.Rejected, c.ep.dest.wait(least))
+}
+
+// reached books work that has come to a cold destination, which falls over if it is too much.
+func (w *world) reached(d *dest, relay *relay, weight float64) {
+	if w.now >= d.coldEnd || d.fallen || d.sick > 0 {
+		return
+	}
+	can := d.capacity(w.now)
+	w.log(rules.Event{Kind: rules.Reached, Relay: relay.no, Dest: d.no, Weight: weight, Capacity: can})
+	keep, all := 0, weight
+	for keep < len(d.budget) && d.budget[keep].at <= w.now-w.day.FallFor {
+		keep++
+	}
+	d.budget = append(d.budget[keep:], arrival{w.now, weight})
+	for _, a := range d.budget[:len(d.budget)-1] {
+		all += a.weight
+	}
+	if all > w.day.FallMultiple*can*w.day.FallFor.Seconds()+3 {
+		d.fallen = true
+		w.res.Fallen++
+		for _, e := range d.eps {
+			w.down(e, crashed, 1<<62)
+		}
+	}
+}
+
+// serve begins a call; it ends when its work is done, later if the endpoint stands still meanwhile.
+func (w *world) serve(c *call) {
+	e, d := c.ep, c.ep.dest
+	e.busy++
+	e.serving = append(e.serving, c)
+	work := 0.0
+	for i := range c.items {
+		it := &c.items[i]
+		noise := chance(w.day.Seed, "noise", uint64(it.m.req.no), uint64(it.m.req.sends))
+		it.work = it.m.req.work * spread(noise, it.m.req.class.Noise, false)
+		if i == 0 {
+			work += it.work
+		} else {
+			work += it.work * d.kind.ItemCost
+		}
+	}
+	took := seconds(work / (e.spec.Speed * e.slow * d.warm(w.now)))
+	if w.now < e.paused {
+		took += e.paused - w.now
+	}
+	life := e.lives
+	c.started, c.work = w.now, work
+	w.after(took, func() { w.served(c, life) })
+}
+
+func (w *world) served(c *call, life int) {
+	e := c.ep
+	if e.lives != life {
+		return // the process that did it is gone
+	}
+	if w.now < e.paused { // a pause has come in between
+		w.at(e.paused+time.Millisecond, func() { w.served(c, life) })
+		return
+	}
+	e.busy--
+	e.serving = slices.DeleteFunc(e.serving, func(o *call) bool { return o == c })
+	w.begin(e)
+	for i := range c.items {
+		w.ran(c.items[i].m)
+	}
+	w.res.Work += c.work
+	switch {
+	case e.dest.rng.Float64() < e.lost:
+		w.answer(c, policy.Broken, 0)
+	case e.dest.rng.Float64() < e.dest.kind.ErrorRate:
+		w.answer(c, policy.Errored, 0)
+	default:
+		w.answer(c, policy.Delivered, 0)
+	}
+}
+
+// begin takes calls from the queue while workers are free.
+func (w *world) begin(e *endpoint) {
+	for e.busy < e.spec.Workers && len(e.queue) > 0 && e.health != crashed && e.health != vanished {
+		c := e.queue[0]
+		e.queue = e.queue[1:]
+		if !(c.closed && e.dest.kind.CancelsQueued) {
+			w.serve(c)
+		}
+	}
+}
+
+// down takes an endpoint out of service.
+func (w *world) down(e *endpoint, h health, until time.Duration) {
+	if e.gone {
+		return
+	}
+	e.health, e.until = h, until
+	if h == shut {
+		return // what it has it ends
+	}
+	all := append(e.queue, e.serving...)
+	e.queue, e.serving, e.busy, e.conns = nil, nil, 0, 0
+	e.lives++
+	for _, c := range all {
+		if h == crashed {
+			w.answer(c, policy.Broken, 0) // a machine that vanished says nothing
+		}
+	}
+}
+
+// restore ends an outage of an endpoint.
+func (w *world) restore(e *endpoint) {
+	if e.dest.fallen || e.gone {
+		return
+	}
+	if e.health == vanished || e.health == crashed {
+		e.lives++ // connections of before are reset
+	}
+	e.health = up
+	w.begin(e)
+}
+
+// sicken and heal count the troubles of a destination that make it come back cold.
+func (w *world) sicken(d *dest) {
+	if d.sick++; d.sick == 1 {
+		clear(d.failed)
+	}
+}
+
+func (w *world) heal(d *dest) {
+	if d.sick--; d.sick > 0 || d.fallen {
+		return
+	}
+	d.coldAt, d.coldEnd, d.budget = w.now, w.now+d.kind.Cold, nil
+	w.log(rules.Event{Kind: rules.Warm, Dest: d.no}) // what an earlier return left
+	w.log(rules.Event{Kind: rules.Back, Dest: d.no})
+	for _, r := range w.relays {
+		if d.failed[r.no] {
+			w.log(rules.Event{Kind: rules.Learned, Relay: r.no, Dest: d.no})
+		}
+	}
+	end := d.coldEnd
+	w.at(end, func() {
+		if d.coldEnd == end && d.sick == 0 {
+			w.log(rules.Event{Kind: rules.Warm, Dest: d.no})
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/emu/emu_test.go
@@ -0,0 +1,200 @@
+package emu_test
+
+import (
+	"encoding/json"
+	"math"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"oatfold/internal/lab/emu"
+	"oatfold/internal/lab/rules"
+	"oatfold/internal/lab/site"
+	"oatfold/policy"
+)
+
+const lab = "../../../lab"
+
+func day(t testing.TB, script string, seed uint64) *emu.Day {
+	t.Helper()
+	s, err := site.ReadScript(filepath.Join(lab, "days", script+site.Ext))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := s.Day(nil, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func play(t testing.TB, d *emu.Day, set emu.Options) *emu.Result {
+	t.Helper()
+	res, err := emu.Play(d, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+// Every day of the library keeps all rules under the module in service, and shows its trouble: none serves what a calm day serves but
+// those that are named.
+func TestLibrary(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(lab, "days", "*"+site.Ext))
+	if err != nil || len(files) < 25 {
+		t.Fatalf("%d days, %v", len(files), err)
+	}
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), site.Ext)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := day(t, name, 3)
+			res := play(t, d, emu.Options{})
+			if !res.Good() {
+				t.Errorf("%v %v", res.Breaks, res.Faults)
+			}
+			if n := res.Delivered + res.GivenUp + res.HandedBack + res.Lost; n != res.Requests || n == 0 {
+				t.Errorf("%d ends of %d messages", n, res.Requests)
+			}
+			d.Troubles = nil
+			if calm := play(t, d, emu.Options{}); len(day(t, name, 3).Troubles) > 0 && res.G == calm.G {
+				t.Error("its trouble changes nothing")
+			}
+		})
+	}
+}
+
+// One seed, one result, to the byte; another seed, another one.
+func TestSameBytes(t *testing.T) {
+	text := func(seed uint64) string {
+		raw, err := json.Marshal(play(t, day(t, "two-at-once", seed), emu.Options{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(raw)
+	}
+	if a, b := text(5), text(5); a != b {
+		t.Error("two runs differ")
+	}
+	if text(5) == text(6) {
+		t.Error("two seeds do not differ")
+	}
+}
+
+// broken is a module that does something wrong after its first so many steps.
+type broken struct {
+	emu.Module
+	steps int
+	do    func(acts []policy.Action) []policy.Action
+}
+
+func (b *broken) Step(now time.Duration, events []policy.Event) []policy.Action {
+	acts := b.Module.Step(now, events)
+	if b.steps--; b.steps < 0 {
+		return b.do(acts)
+	}
+	return acts
+}
+
+func spoilt(do func([]policy.Action) []policy.Action) emu.Maker {
+	return func(set policy.Settings, seed int64) (emu.Module, error) {
+		m, err := emu.Service(set, seed)
+		return &broken{m, 300, do}, err
+	}
+}
+
+// Modules that break a rule are found out, each by its rule.
+func TestFindsBrokenModules(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule rules.Name
+		do   func([]policy.Action) []policy.Action
+	}{
+		"forgets a message": {rules.Answer, func(acts []policy.Action) (out []policy.Action) {
+			for _, a := range acts {
+				if s, ok := a.(policy.Send); !ok || s.ID%50 != 0 {
+					out = append(out, a)
+				}
+			}
+			return out
+		}},
+		"ends twice": {rules.Answer, func(acts []policy.Action) []policy.Action {
+			for _, a := range acts {
+				if s, ok := a.(policy.Send); ok {
+					return append(acts, policy.Fail{ID: s.ID}, policy.Fail{ID: s.ID})
+				}
+			}
+			return acts
+		}},
+		"sends twice": {rules.Repeat, func(acts []policy.Action) []policy.Action {
+			for _, a := range acts {
+				if s, ok := a.(policy.Send); ok {
+					return append(acts, s)
+				}
+			}
+			return acts
+		}},
+	} {
+		res := play(t, day(t, "calm", 1), emu.Options{Make: spoilt(c.do)})
+		if res.Broken[c.rule] == 0 {
+			t.Errorf("%s: %v", name, res.Broken)
+		}
+	}
+}
+
+// A module that panics ends the life of its relay, is named, and ends neither the day nor another relay.
+func TestPanic(t *testing.T) {
+	res := play(t, day(t, "calm", 1), emu.Options{Make: spoilt(func([]policy.Action) []policy.Action { panic("spoilt") })})
+	if res.Good() || !strings.Contains(res.Faults[0], "panics: spoilt") {
+		t.Errorf("faults %v", res.Faults)
+	}
+	if res.Delivered == 0 || res.Delivered+res.GivenUp+res.HandedBack+res.Lost != res.Requests {
+		t.Errorf("%d delivered of %d", res.Delivered, res.Requests)
+	}
+}
+
+// A day that runs out of events or of time says so and counts as no good one.
+func TestRunsOut(t *testing.T) {
+	if res := play(t, day(t, "calm", 1), emu.Options{Events: 1000}); len(res.Faults) != 1 || !strings.Contains(res.Faults[0], "cut after 1000 events") {
+		t.Errorf("events: %v", res.Faults)
+	}
+	d := day(t, "cold-return", 1)
+	d.Tail = 0
+	if res := play(t, d, emu.Options{}); len(res.Faults) == 0 || !strings.Contains(res.Faults[0], "had no end") {
+		t.Errorf("time: %v", res.Faults)
+	}
+}
+
+// A figure that makes no day is named by its key.
+func TestNamesTheKey(t *testing.T) {
+	for key, spoil := range map[string]func(*emu.Day){
+		"rate": func(d *emu.Day) { d.Rate = math.NaN() },
+		"tick": func(d *emu.Day) { d.Tick = 0 },
+		"dests: ": func(d *emu.Day) {
+			for i := range d.Dests {
+				d.Dests[i].Share = 0
+			}
+		},
+		"dests[0].endpoints[0].sp": func(d *emu.Day) { d.Dests[0].Endpoints[0].Speed = 0 },
+		"classes[1].aim":           func(d *emu.Day) { d.Classes[1].Aim = d.Classes[1].Deadline * 2 },
+		"troubles[0].kind":         func(d *emu.Day) { d.Troubles = []emu.Trouble{{Kind: "flood", Dests: []int{0}}} },
+		"troubles[0].parts":        func(d *emu.Day) { d.Troubles = []emu.Trouble{{Kind: emu.Crash, Parts: [][2]int{{0, 99}}}} },
+		"troubles[0].relays":       func(d *emu.Day) { d.Troubles = []emu.Trouble{{Kind: emu.RelayStall, Relays: []int{99}}} },
+	} {
+		d := day(t, "calm", 1)
+		spoil(d)
+		if _, err := emu.Play(d, emu.Options{}); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
+// BenchmarkDay is a busy day of the library.
+func BenchmarkDay(b *testing.B) {
+	d := day(b, "two-at-once", 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		play(b, d, emu.Options{})
+	}
+	b.ReportMetric(d.Length.Seconds()*float64(b.N)/b.Elapsed().Seconds(), "x-real-time")
+}
--- /dev/null
+++ b/internal/lab/emu/relay.go
@@ -0,0 +1,386 @@
+package emu
+
+import (
+	"fmt"
+	"time"
+
+	"oatfold/internal/lab/rules"
+	"oatfold/policy"
+)
+
+// Module is what the emulator drives; policy.Relay in service.
+type Module interface {
+	Step(now time.Duration, events []policy.Event) []policy.Action
+}
+
+// Maker makes the module of one life of a relay.
+type Maker func(set policy.Settings, seed int64) (Module, error)
+
+// Service is the module that relays have in service.
+func Service(set policy.Settings, seed int64) (Module, error) { return policy.New(set, seed) }
+
+// relay is one relay at work.
+type relay struct {
+	w       *world
+	no      int
+	life    int
+	mod     Module // nil: it is down
+	inbox   []policy.Event
+	due     bool // a step is on its way
+	stalled time.Duration
+	held    map[uint32]*message
+	out     int // calls
+	wake    uint64
+	idle    map[*endpoint][]*conn
+	told    map[int]policy.EndpointState // endpoints that it heard are going
+}
+
+// conn is a connection from a relay to an endpoint.
+type conn struct {
+	life    int // of the endpoint
+	usedAt  time.Duration
+	endedAt bool
+}
+
+// message is a request in the hands of one relay.
+type message struct {
+	id      uint32
+	req     *request
+	relay   *relay
+	life    int
+	over    bool
+	tries   int
+	item    *item // the attempt that is out
+	mayHave bool
+}
+
+// item is one message of a call.
+type item struct {
+	m       *message
+	attempt int
+	timeout time.Duration
+	done    bool
+	work    float64
+}
+
+// call is one call that is out.
+type call struct {
+	id       uint64
+	relay    *relay
+	rlife    int
+	ep       *endpoint
+	items    []item
+	left     int
+	sentAt   time.Duration
+	conn     *conn
+	life     int // of the endpoint as the connection was made
+	closed   bool
+	answered bool
+	started  time.Duration
+	work     float64
+}
+
+// boot starts a life of a relay.
+func (r *relay) boot() {
+	r.life++
+	mod, err := r.w.make(r.w.day.Settings(), int64(chance(r.w.day.Seed, "module", uint64(r.no), uint64(r.life)).Uint64()>>1))
+	if err != nil {
+		r.w.fault(fmt.Sprintf("relay %d does not start: %v", r.no, err))
+		return
+	}
+	r.mod, r.held, r.out, r.idle, r.inbox, r.due = mod, map[uint32]*message{}, 0, map[*endpoint][]*conn{}, nil, false
+	r.told = map[int]policy.EndpointState{}
+	var list []policy.Endpoint
+	for _, d := range r.w.dests {
+		for _, e := range d.eps {
+			if !e.draining && !e.gone {
+				list = append(list, r.entry(e, policy.Listed))
+			}
+		}
+	}
+	r.hear(policy.ListNews{Kind: policy.ListRestored, Entries: list})
+}
+
+func (r *relay) entry(e *endpoint, state policy.EndpointState) policy.Endpoint {
+	return policy.Endpoint{Address: e.address, Destination: e.dest.no, Kind: e.dest.kind.Name, Zone: e.dest.spec.Zone, State: state, Rate: 1}
+}
+
+// die ends a life: what it held comes again to another relay, unless it may have run and may not be repeated.
+func (r *relay) die() {
+	if r.mod == nil {
+		return
+	}
+	w := r.w
+	w.log(rules.Event{Kind: rules.Died, Relay: r.no})
+	r.mod = nil
+	for id := uint32(0); len(r.held) > 0 && id <= w.lastID; id++ { // in order of their numbers, for the same result each time
+		m := r.held[id]
+		if m == nil {
+			continue
+		}
+		delete(r.held, id)
+		m.over = true
+		if m.item != nil {
+			m.mayHave = true
+		}
+		if !m.mayHave || m.req.class.Effect != policy.Unsafe {
+			w.after(part(w.day.Again, 0.8+0.4*w.clients.Float64()), func() { w.handIn(m.req) })
+		} else {
+			w.end(m.req, endFailed)
+		}
+	}
+	for _, d := range w.dests {
+		delete(d.failed, r.no)
+		for _, e := range d.eps {
+			e.conns -= len(r.idle[e])
+		}
+	}
+}
+
+// hear puts an event into a relay's next step.
+func (r *relay) hear(ev policy.Event) {
+	r.inbox = append(r.inbox, ev)
+	if r.due {
+		return
+	}
+	r.due = true
+	life := r.life
+	tick := r.w.day.Tick
+	at := max((r.w.now+tick-1)/tick*tick, r.stalled)
+	r.w.at(at, func() {
+		if r.life == life && r.mod != nil {
+			r.step()
+		}
+	})
+}
+
+// step lets the module decide. A module that panics ends the life of its relay, as it would in service, and is counted.
+func (r *relay) step() {
+	events := r.inbox
+	r.inbox, r.due = nil, false
+	acts, ok := r.decide(events)
+	if !ok {
+		r.die()
+		life := r.life
+		r.w.after(time.Second, func() {
+			if r.life == life && r.mod == nil {
+				r.boot()
+			}
+		})
+		return
+	}
+	r.w.res.Steps++
+	var open []*call // of this step, to which further sends may join
+	for _, a := range acts {
+		switch a := a.(type) {
+		case policy.Send:
+			open = r.send(a, open)
+		case policy.Refuse:
+			r.final(a.ID, rules.Refused, a.RetryAfter)
+		case policy.Fail:
+			r.final(a.ID, rules.Failed, 0)
+		case policy.WakeAfter:
+			r.wake++
+			wake, life := r.wake, r.life
+			r.w.after(max(a.Delay, r.w.day.Tick), func() {
+				if r.wake == wake && r.life == life && r.mod != nil {
+					r.hear(policy.Woke{})
+				}
+			})
+		case policy.CloseIdle:
+			if e := r.w.byAddress[a.Endpoint]; e != nil {
+				for range r.idle[e] {
+					e.conns--
+				}
+				delete(r.idle, e)
+			}
+		case policy.Note:
+			r.w.res.Notes++
+		}
+	}
+	for _, c := range open {
+		r.w.start(c)
+	}
+}
+
+func (r *relay) decide(events []policy.Event) (acts []policy.Action, ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.w.fault(fmt.Sprintf("%v: the module of relay %d panics: %v", r.w.now, r.no, p))
+			acts, ok = nil, false
+		}
+	}()
+	return r.mod.Step(r.w.now, events), true
+}
+
+// send takes one Send of a step up: into a call that is open, into a new one, or back at once if it can't go out.
+func (r *relay) send(a policy.Send, open []*call) []*call {
+	w, m, e := r.w, r.held[a.ID], r.w.byAddress[a.Endpoint]
+	if m == nil || e == nil {
+		w.fault(fmt.Sprintf("%v: relay %d sends message %d to %q, which it does not have", w.now, r.no, a.ID, a.Endpoint))
+		return open
+	}
+	m.tries++
+	it := item{m: m, attempt: m.tries - 1, timeout: a.Timeout}
+	if it.timeout <= 0 || w.now+it.timeout > m.req.deadline {
+		it.timeout = m.req.deadline - w.now
+	}
+	var c *call
+	for _, o := range open {
+		if o.ep == e && len(o.items) < e.dest.kind.Batch {
+			c = o
+		}
+	}
+	fresh := c == nil
+	if fresh {
+		w.callNo++
+		c = &call{id: w.callNo, relay: r, rlife: r.life, ep: e, sentAt: w.now}
+	}
+	moot := fresh && r.out >= w.day.Slots || m.over || m.item != nil || m.tries > w.day.MaxAttempts
+	line := rules.Event{Kind: rules.Sent, Relay: r.no, Msg: m.id, Attempt: it.attempt, Call: c.id, Dest: e.dest.no, Endpoint: e.no}
+	if moot {
+		line.Call = 0 // no call: nothing is out
+	}
+	if w.log(line); moot {
+		w.ended(c, &it, policy.Unsent, 0)
+		return open
+	}
+	if fresh {
+		r.out++
+		open = append(open, c)
+	}
+	c.items = append(c.items, it)
+	c.left++
+	m.req.sends++
+	return open
+}
+
+// start sends a call off: over a connection that is idle, or over a new one.
+func (w *world) start(c *call) {
+	r, e := c.relay, c.ep
+	w.res.Calls++
+	w.res.Dests[e.dest.no].Calls++
+	for i := range c.items {
+		it := &c.items[i]
+		it.m.item = it
+		w.after(it.timeout, func() {
+			if !it.done {
+				c.closed = true
+				w.ended(c, it, policy.TimedOut, 0)
+			}
+		})
+	}
+	way := w.way(w.day.RTT / 2)
+	for n := len(r.idle[e]); n > 0; n = len(r.idle[e]) {
+		k := r.idle[e][n-1]
+		r.idle[e] = r.idle[e][:n-1]
+		if w.now-k.usedAt >= w.day.Idle || k.life != e.lives && e.health != vanished {
+			if k.life == e.lives {
+				e.conns--
+			}
+			continue // it shows as closed
+		}
+		c.conn, c.life = k, k.life
+		w.after(way, func() { w.arrive(c) })
+		return
+	}
+	w.res.Connections++
+	c.life = e.lives
+	full := e.spec.Conns > 0 && e.conns >= e.spec.Conns
+	switch {
+	case e.gone || e.health == crashed || full:
+		w.after(2*way, func() { w.answerNow(c, policy.ConnectFailed, 0) })
+	case e.health == vanished:
+		w.after(w.day.Connect, func() { w.answerNow(c, policy.ConnectFailed, 0) })
+	default:
+		e.conns++
+		c.conn = &conn{life: e.lives}
+		w.after(way+part(w.day.RTT, w.day.Handshake), func() { w.arrive(c) })
+	}
+}
+
+// answer is what an endpoint has to say of a call; it takes its way back.
+func (w *world) answer(c *call, out policy.Outcome, wait time.Duration) {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	sent := w.now
+	w.after(w.way(w.day.RTT/2), func() {
+		if wait > 0 { // it runs from when it was told
+			wait = max(wait-(w.now-sent), time.Millisecond)
+		}
+		w.answerNow(c, out, wait)
+	})
+}
+
+// answerNow ends what is still out of a call.
+func (w *world) answerNow(c *call, out policy.Outcome, wait time.Duration) {
+	r, e := c.relay, c.ep
+	c.answered = true
+	if k := c.conn; k != nil && !c.closed && r.life == c.rlife && r.mod != nil && out != policy.Broken && out != policy.ConnectFailed {
+		k.usedAt = w.now
+		r.idle[e] = append(r.idle[e], k)
+	} else if k != nil && k.life == e.lives {
+		e.conns--
+	}
+	c.conn = nil
+	for i := range c.items {
+		if it := &c.items[i]; !it.done {
+			w.ended(c, it, out, wait)
+		}
+	}
+}
+
+// ended tells a relay how an attempt ended.
+func (w *world) ended(c *call, it *item, out policy.Outcome, wait time.Duration) {
+	r, m, e := c.relay, it.m, c.ep
+	it.done = true
+	if r.life != c.rlife || r.mod == nil {
+		return
+	}
+	if out != policy.Unsent {
+		if c.left--; c.left == 0 {
+			r.out--
+			if c.closed && c.conn != nil && c.conn.life == e.lives {
+				e.conns--
+				c.conn = nil
+			}
+		}
+	}
+	if m.item == it {
+		m.item = nil
+	}
+	proved := out == policy.Rejected || out == policy.ConnectFailed || out == policy.Unsent
+	if !proved {
+		m.mayHave = true
+	}
+	ok := out == policy.Delivered
+	if ok && !m.over {
+		m.over = true
+		delete(r.held, m.id)
+		w.end(m.req, endDelivered)
+	}
+	if !ok && out != policy.Unsent && (e.dest.sick > 0 || e.dest.fallen) {
+		e.dest.failed[r.no] = true
+	}
+	w.log(rules.Event{Kind: rules.Ended, Relay: r.no, Msg: m.id, Attempt: it.attempt, Call: c.id, Dest: e.dest.no, Proved: proved, OK: ok, Wait: wait})
+	r.hear(policy.Ended{ID: m.id, Attempt: it.attempt, Endpoint: e.address, Outcome: out, Took: w.now - c.sentAt, Final: m.over, Wait: wait})
+}
+
+// final is a relay's last word on a message.
+func (r *relay) final(id uint32, kind rules.Kind, advice time.Duration) {
+	w, m := r.w, r.held[id]
+	w.log(rules.Event{Kind: kind, Relay: r.no, Msg: id})
+	if m == nil || m.over {
+		return
+	}
+	m.over = true
+	delete(r.held, id)
+	if kind == rules.Failed {
+		w.end(m.req, endFailed)
+		return
+	}
+	w.res.Refusals++
+	w.again(m.req, advice)
+}
--- /dev/null
+++ b/internal/lab/emu/result.go
@@ -0,0 +1,161 @@
+package emu
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oatfold/internal/lab/rules"
+)
+
+// Result is what came of a day. Of one day and one seed it is the same each time.
+type Result struct {
+	Day  string
+	Seed uint64
+
+	G                              float64 // as the operators count: see Score
+	Whole, WorstWindow, WorstClass float64
+	Requests                       int // first tries
+	Delivered, InAim               int
+	GivenUp, HandedBack, Lost      int // requests that ended undelivered: failed, refused for good, never answered
+	HandIns, Refusals, TurnedAway  int
+	Calls, RefusedCalls            int
+	Connections                    int
+	Steps, Notes, Events           int
+	Overdue, Doubles, Fallen       int
+	Work, Asked                    float64 // seconds of destinations' work, done and asked for
+	Useful                         float64 // work of what was delivered
+	Seconds                        []Second
+	ByClass                        []Tally
+	Dests                          []DestTally
+	Latency                        *hdrhistogram.Histogram `json:"-"` // of delivered messages, in microseconds
+	Broken                         map[rules.Name]int
+	Breaks                         []rules.Break
+	Faults                         []string // of the module, of the day or of the laboratory itself
+	lateFail                       float64
+}
+
+// Second is a second of arrivals: the worth that came in and what of it was served.
+type Second struct{ Asked, Served float64 }
+
+// Tally is a class's.
+type Tally struct {
+	Name                    string
+	Requests, Delivered     int
+	Asked, Served           float64
+	GivenUp, Refused, InAim int
+}
+
+// DestTally is a destination's.
+type DestTally struct {
+	Requests, Delivered, Calls, Refused int
+	Asked, Served                       float64
+}
+
+func newResult(d *Day) *Result {
+	r := &Result{Day: d.Name, Seed: d.Seed, Seconds: make([]Second, int(d.Length/time.Second)+1), Dests: make([]DestTally, len(d.Dests)),
+		Latency: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)}
+	for _, c := range d.Classes {
+		r.ByClass = append(r.ByClass, Tally{Name: c.Name})
+	}
+	return r
+}
+
+func (r *Result) asked(_ *world, q *request) {
+	worth := q.class.Worth
+	r.Seconds[int(q.at/time.Second)].Asked += worth
+	t := &r.ByClass[q.classNo]
+	t.Requests++
+	t.Asked += worth
+	r.Dests[q.dest.no].Requests++
+	r.Dests[q.dest.no].Asked += worth
+	r.Asked += q.work
+}
+
+func (r *Result) ended(w *world, q *request, how end) {
+	t, after := &r.ByClass[q.classNo], w.now-q.at
+	switch how {
+	case endDelivered:
+		worth := q.class.worth(after)
+		r.Seconds[int(q.at/time.Second)].Served += worth
+		t.Served += worth
+		t.Delivered++
+		r.Delivered++
+		if after <= q.class.Aim {
+			t.InAim++
+			r.InAim++
+		}
+		r.Useful += q.work
+		r.Dests[q.dest.no].Delivered++
+		r.Dests[q.dest.no].Served += worth
+		r.Latency.RecordValue(int64(after / time.Microsecond))
+		return
+	case endFailed:
+		r.GivenUp++
+		t.GivenUp++
+	case endRefused:
+		r.HandedBack++
+		t.Refused++
+	case endLost:
+		r.Lost++
+	}
+	if after > q.class.Aim {
+		r.lateFail += q.class.Worth
+	}
+}
+
+// window is the time over which the worst stretch of a day is looked for.
+const window = 10
+
+// finish works out the figures of the whole day and holds the two accounts against each other: the log of the rules and the
+// world's own. Where they disagree the laboratory is at fault, and says so.
+func (r *Result) finish(w *world) {
+	r.Events = w.done
+	r.Broken, r.Breaks = w.check.Counts, w.check.Breaks
+	asked, served := 0.0, 0.0
+	for _, s := range r.Seconds {
+		asked += s.Asked
+		served += s.Served
+	}
+	r.Whole, r.WorstWindow, r.WorstClass = share(served, asked), 1, 1
+	for i := 0; i+window < len(r.Seconds) || i == 0; i++ {
+		a, s := 0.0, 0.0
+		for _, sec := range r.Seconds[i:min(i+window, len(r.Seconds))] {
+			a += sec.Asked
+			s += sec.Served
+		}
+		r.WorstWindow = min(r.WorstWindow, share(s, a))
+	}
+	for _, t := range r.ByClass {
+		r.WorstClass = min(r.WorstClass, share(t.Served, t.Asked))
+	}
+	n, p := float64(max(1, r.Requests)), w.day.Prices
+	r.G = 0.5*r.Whole + 0.3*r.WorstWindow + 0.2*r.WorstClass - p.Waste*share0(max(0, r.Work-r.Useful), r.Asked) -
+		p.Handshake*float64(r.Connections)/n - p.LateFail*share0(r.lateFail, asked) - p.Refused*float64(r.RefusedCalls)/n
+	if lost := r.Broken[rules.Answer]; (lost > 0) != (r.Overdue > 0) && len(r.Faults) == 0 {
+		r.Faults = append(r.Faults, "the two accounts disagree on messages without an answer in time")
+	}
+	if (r.Broken[rules.Repeat] > 0) != (r.Doubles > 0) && r.Doubles > 0 {
+		r.Faults = append(r.Faults, "the two accounts disagree: a message ran twice, and no rule on repeats was broken")
+	}
+	if r.Fallen == 0 && r.Broken[rules.FailBack] > 0 {
+		r.Faults = append(r.Faults, "the two accounts disagree: no destination fell over, and the rule on returns was broken")
+	}
+}
+
+func share(part, of float64) float64 {
+	if of <= 0 {
+		return 1
+	}
+	return part / of
+}
+
+func share0(part, of float64) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return part / of
+}
+
+// Good tells whether no rule was broken and nothing else went wrong.
+func (r *Result) Good() bool { return len(r.Faults) == 0 && len(r.Breaks) == 0 }
--- /dev/null
+++ b/internal/lab/load/saturate.go
@@ -0,0 +1,171 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"strings"
+	"time"
+
+	"oatfold/internal/standin"
+)
+
+// Step is one rate that a program was put under.
+type Step struct {
+	Program     string
+	Offered     float64 // messages a second
+	Sent, InAim int
+	Refused     int
+	Failed      int
+	Doubles     int
+	P50, P99    time.Duration // from due to done at the partner
+	CPU         time.Duration // of the program, from its start to the last message
+	Peak        int64         // bytes resident at most
+	Kept        bool          // nearly all was done within its aim
+}
+
+// PerCPU is how many messages it did for a second of CPU.
+func (s Step) PerCPU() float64 { return float64(s.InAim) / max(s.CPU.Seconds(), 0.01) }
+
+// kept is the share of messages that have to be done within their aim.
+const kept = 0.99
+
+// Saturation sets a search for the highest rate that keeps the aim.
+type Saturation struct {
+	Relay   string   // the program
+	Forward []string // command of the forwarder, to which --to ADDR is added; it prints its address on a line
+	Rates   []float64
+	For     time.Duration
+	Dests   int
+	Conns   int
+	Body    int
+	Seed    uint64
+	Profile func(addr string, rate float64) // nil: none
+}
+
+// Saturate puts the relay and a plain forwarder under growing rates, each in a process of its own that is new for each rate, and beside each other
+// at each rate. A program that did not keep the aim is not tried any further.
+func Saturate(ctx context.Context, set Saturation, each func(Step)) error {
+	over := map[string]bool{}
+	for _, rate := range set.Rates {
+		for _, program := range []string{"relay", "forwarder"} {
+			if over[program] || ctx.Err() != nil {
+				continue
+			}
+			s, err := set.step(ctx, program, rate)
+			if err != nil {
+				return fmt.Errorf("%s at %g/s: %w", program, rate, err)
+			}
+			over[program] = !s.Kept
+			each(*s)
+		}
+	}
+	return ctx.Err()
+}
+
+func (set Saturation) step(ctx context.Context, program string, rate float64) (*Step, error) {
+	meter := NewMeter(Mix)
+	var partners []standin.PartnerConfig
+	load := Config{Rate: rate, For: set.For, Mix: Mix, Conns: set.Conns, Body: set.Body, Seed: set.Seed}
+	for i := range set.Dests {
+		load.Dests = append(load.Dests, i+1)
+		partners = append(partners, standin.PartnerConfig{Dest: i + 1, Ran: meter.Ran})
+	}
+	w, err := standin.NewWorld(standin.Config{Seed: set.Seed, Partners: partners, Slots: 256, Hold: 20_000, Sockets: 4096, DiskMB: 256})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	pid := 0
+	if program == "relay" {
+		r, err := w.StartRelay(set.Relay)
+		if err != nil {
+			return nil, err
+		}
+		load.Addr, pid = r.Addr, r.Pid()
+	} else {
+		var to []string
+		for _, p := range w.Partners {
+			to = append(to, p.Addresses()...)
+		}
+		cmd, addr, err := forward(ctx, set.Forward, to)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { cmd.Process.Kill(); cmd.Wait() }()
+		load.Addr, pid = addr, cmd.Process.Pid
+	}
+	rep, err := Run(ctx, load)
+	if err != nil {
+		return nil, err
+	}
+	// What was taken on may still be on its way; its aim bounds the wait.
+	for end := time.Now().Add(3 * time.Second); meter.Count() < rep.Taken && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	u, err := Use(pid)
+	if err != nil {
+		return nil, err
+	}
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	s := &Step{Program: program, Offered: rate, Sent: rep.Sent, InAim: meter.InAim, Refused: rep.Refused, Failed: rep.Failed, Doubles: meter.Doubles, CPU: u.CPU, Peak: u.Peak,
+		P50: time.Duration(meter.Latency.ValueAtPercentile(50)) * time.Microsecond, P99: time.Duration(meter.Latency.ValueAtPercentile(99)) * time.Microsecond}
+	s.Kept = float64(s.InAim) >= kept*float64(s.Sent)
+	return s, nil
+}
+
+// forward starts the forwarder and reads its address.
+func forward(ctx context.Context, command, to []string) (*exec.Cmd, string, error) {
+	cmd := exec.CommandContext(ctx, command[0], append(command[1:], "--to", strings.Join(to, ","))...)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, "", err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, "", err
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return nil, "", fmt.Errorf("the forwarder did not start: %w", err)
+	}
+	return cmd, strings.TrimSpace(line), nil
+}
+
+// Forward is the yardstick: a plain forwarder on net/http/httputil.ReverseProxy that keeps nothing, retries nothing and deals messages
+// to the addresses in turn. It prints its address and serves until ctx is over.
+func Forward(ctx context.Context, to []string, print func(addr string)) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	next := make(chan string, len(to))
+	for _, a := range to {
+		next <- a
+	}
+	proxy := &httputil.ReverseProxy{
+		Rewrite: func(r *httputil.ProxyRequest) {
+			a := <-next
+			next <- a
+			r.SetURL(&url.URL{Scheme: "http", Host: a})
+			r.Out.URL.Path = "/hook"
+		},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+	}
+	srv := &http.Server{Handler: proxy}
+	go func() { <-ctx.Done(); srv.Close() }()
+	print(ln.Addr().String())
+	if err := srv.Serve(ln); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/rules/rules.go
@@ -0,0 +1,380 @@
+// Package rules checks what relays did against the rules of the protocol: it reads a log of events in order of time and tells
+// each break once. It knows nothing of how relays decide, nor of the emulator: whatever writes such a log can be checked.
+//
+// A Checker keeps only what is still open: messages that are over and have no attempt out are forgotten.
+package rules
+
+import (
+	"fmt"
+	"time"
+)
+
+// Name is the name of a rule.
+type Name string
+
+// The rules.
+const (
+	Answer   Name = "answer"    // one final answer, in time, and no attempt after it
+	Repeat   Name = "repeat"    // no repeat and no refusal that the class forbids; one live attempt
+	Drain    Name = "drain"     // nothing new to an endpoint that is told to be going
+	FailBack Name = "fail-back" // no returning destination pushed over by those who saw it fail
+	Wait     Name = "wait"      // told waits are heeded
+	Place    Name = "place"     // only endpoints of the message's destination, only as many calls and attempts as allowed
+	Share    Name = "share"     // calls to one destination keep within three quarters of the slots
+)
+
+// Names are all of them.
+var Names = []Name{Answer, Repeat, Drain, FailBack, Wait, Place, Share}
+
+// Effect says what a repeat does.
+type Effect int
+
+// The effects, as classes of message have them.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+// Config holds the figures of the rules.
+type Config struct {
+	AnswerSlack  time.Duration
+	DrainGrace   time.Duration
+	FallMultiple float64
+	FallFor      time.Duration
+	Slots        int
+	MaxAttempts  int
+}
+
+// Kind is the kind of an event.
+type Kind int
+
+// The kinds of event, and the fields that they have beside At.
+const (
+	Taken    Kind = iota // Relay, Msg, Dest, Effect, Window, Until: a relay has taken a message on
+	Sent                 // Relay, Msg, Attempt, Call (0: it can't go out), Dest (of the endpoint), Endpoint
+	Ended                // Relay, Msg, Attempt, Dest, Proved, OK, Wait: how an attempt ended, as its relay learned it
+	Refused              // Relay, Msg: final answer
+	Failed               // Relay, Msg: final answer
+	Dropped              // Relay, Msg: nothing more is owed, by no doing of the relay
+	Died                 // Relay: the process is gone with all that it held
+	Leaving              // Relay, Endpoint: the relay was told that it drains or is gone
+	Back                 // Dest: an outage is over, and the destination cold
+	Warm                 // Dest: it has all of its capacity again
+	Learned              // Relay, Dest: the relay saw a call fail or be refused there while an outage lasted
+	Reached              // Relay, Dest, Weight, Capacity: work reached a cold destination, whose capacity is so many a second now
+	Finished             // the log's end
+)
+
+// Event is one line of the log. IDs of messages, calls and endpoints are never used twice.
+type Event struct {
+	At       time.Duration
+	Kind     Kind
+	Relay    int
+	Msg      uint32
+	Attempt  int
+	Call     uint64
+	Dest     int
+	Endpoint int
+	Effect   Effect
+	Window   time.Duration
+	Until    time.Duration
+	Wait     time.Duration
+	Proved   bool // the attempt never ran
+	OK       bool // it was delivered: the message is over
+	Weight   float64
+	Capacity float64
+}
+
+// Break is a broken rule.
+type Break struct {
+	Rule  Name
+	At    time.Duration
+	Relay int
+	Msg   uint32
+	Why   string
+}
+
+func (b Break) String() string {
+	return fmt.Sprintf("%v: %s: relay %d, message %d: %s", b.At, b.Rule, b.Relay, b.Msg, b.Why)
+}
+
+// Checker reads a log. It is not safe for concurrent use.
+type Checker struct {
+	set    Config
+	Breaks []Break
+	Counts map[Name]int
+	msgs   map[uint32]*message
+	calls  map[uint64]*call
+	relays map[int]*relay
+	dests  map[int]*dest
+	last   time.Duration
+}
+
+type message struct {
+	relay, dest, sent int
+	effect            Effect
+	window, until     time.Duration
+	live              int
+	over, risk        bool
+	riskAt            time.Duration
+	sentAt            map[int]time.Duration // of attempts that are out
+}
+
+type call struct {
+	relay, dest, left int
+}
+
+type relay struct {
+	out     map[int]int // calls by destination
+	calls   int
+	waits   map[int]time.Duration
+	leaving map[int]time.Duration
+}
+
+type dest struct {
+	cold    bool
+	learned map[int]bool
+	loads   []load
+}
+
+type load struct {
+	at      time.Duration
+	weight  float64
+	learned bool
+}
+
+// most is how many breaks are kept in words; all are counted.
+const most = 100
+
+// New returns a checker for one log.
+func New(set Config) *Checker {
+	return &Checker{set: set, Counts: map[Name]int{}, msgs: map[uint32]*message{}, calls: map[uint64]*call{}, relays: map[int]*relay{}, dests: map[int]*dest{}}
+}
+
+func (c *Checker) breaks(r Name, e Event, format string, args ...any) {
+	c.Counts[r]++
+	if len(c.Breaks) < most {
+		c.Breaks = append(c.Breaks, Break{r, e.At, e.Relay, e.Msg, fmt.Sprintf(format, args...)})
+	}
+}
+
+// Open tells how many messages have had no end yet.
+func (c *Checker) Open() (n int) {
+	for _, m := range c.msgs {
+		if !m.over {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Checker) relay(n int) *relay {
+	r := c.relays[n]
+	if r == nil {
+		r = &relay{out: map[int]int{}, waits: map[int]time.Duration{}, leaving: map[int]time.Duration{}}
+		c.relays[n] = r
+	}
+	return r
+}
+
+func (c *Checker) dest(n int) *dest {
+	d := c.dests[n]
+	if d == nil {
+		d = &dest{learned: map[int]bool{}}
+		c.dests[n] = d
+	}
+	return d
+}
+
+// Event takes the next line in. Lines come in order of time.
+func (c *Checker) Event(e Event) {
+	if e.At < c.last {
+		c.breaks(Answer, e, "the log goes back in time, from %v", c.last)
+	}
+	c.last = max(c.last, e.At)
+	switch e.Kind {
+	case Taken:
+		if c.msgs[e.Msg] != nil {
+			c.breaks(Answer, e, "taken on twice")
+			return
+		}
+		c.msgs[e.Msg] = &message{relay: e.Relay, dest: e.Dest, effect: e.Effect, window: e.Window, until: e.Until, sentAt: map[int]time.Duration{}}
+	case Sent:
+		c.sent(e)
+	case Ended:
+		c.ended(e)
+	case Refused, Failed, Dropped:
+		c.final(e)
+	case Died:
+		c.died(e)
+	case Leaving:
+		if r := c.relay(e.Relay); r.leaving[e.Endpoint] == 0 {
+			r.leaving[e.Endpoint] = e.At + 1 // an endpoint told of at nought has been told of too
+		}
+	case Back:
+		c.dest(e.Dest).cold = true
+	case Learned:
+		c.dest(e.Dest).learned[e.Relay] = true
+	case Warm:
+		*c.dest(e.Dest) = dest{learned: map[int]bool{}}
+	case Reached:
+		c.reached(e)
+	case Finished:
+		for id, m := range c.msgs {
+			if !m.over {
+				e.Msg, e.Relay = id, m.relay
+				c.breaks(Answer, e, "never ended")
+			}
+		}
+	}
+}
+
+func (c *Checker) sent(e Event) {
+	m, r := c.msgs[e.Msg], c.relay(e.Relay)
+	switch {
+	case m == nil || m.relay != e.Relay:
+		c.breaks(Answer, e, "sent, but not held")
+		return
+	case m.over:
+		c.breaks(Answer, e, "sent after its end")
+	case m.live > 0:
+		c.breaks(Repeat, e, "two live attempts")
+	case m.risk && m.effect == Unsafe:
+		c.breaks(Repeat, e, "sent again, and may have run")
+	case m.risk && m.effect == Keyed && e.At > m.riskAt+m.window:
+		c.breaks(Repeat, e, "sent again %v after it may have run, window %v", e.At-m.riskAt, m.window)
+	}
+	if e.Dest != m.dest {
+		c.breaks(Place, e, "for destination %d, sent to one of %d", m.dest, e.Dest)
+	}
+	if m.sent++; m.sent > c.set.MaxAttempts {
+		c.breaks(Place, e, "attempt %d of %d", m.sent, c.set.MaxAttempts)
+	}
+	if until, ok := r.waits[e.Dest]; ok && e.At < until {
+		c.breaks(Wait, e, "sent %v before the end of a told wait", until-e.At)
+	}
+	if at := r.leaving[e.Endpoint]; at > 0 && e.At > at-1+c.set.DrainGrace {
+		c.breaks(Drain, e, "sent to endpoint %d, told to be going %v ago", e.Endpoint, e.At-at+1)
+	}
+	m.live++
+	m.sentAt[e.Attempt] = e.At
+	if e.Call == 0 {
+		return
+	}
+	out := c.calls[e.Call]
+	if out == nil {
+		out = &call{relay: e.Relay, dest: e.Dest}
+		c.calls[e.Call] = out
+		r.calls++
+		if r.out[e.Dest]++; r.calls > c.set.Slots {
+			c.breaks(Place, e, "%d calls out, %d slots", r.calls, c.set.Slots)
+		}
+		if most := max(1, c.set.Slots*3/4); r.out[e.Dest] > most {
+			c.breaks(Share, e, "%d calls out to destination %d, three quarters of the slots are %d", r.out[e.Dest], e.Dest, most)
+		}
+	}
+	out.left++
+}
+
+func (c *Checker) ended(e Event) {
+	m := c.msgs[e.Msg]
+	if m == nil {
+		c.breaks(Answer, e, "an attempt ended, but the message is not held")
+		return
+	}
+	at, out := m.sentAt[e.Attempt]
+	if !out {
+		c.breaks(Answer, e, "attempt %d ended twice or was never out", e.Attempt)
+		return
+	}
+	delete(m.sentAt, e.Attempt)
+	m.live--
+	r := c.relay(e.Relay)
+	if k := c.calls[e.Call]; k != nil {
+		if k.left--; k.left == 0 {
+			delete(c.calls, e.Call)
+			r.calls--
+			r.out[k.dest]--
+		}
+	}
+	if e.Wait > 0 {
+		r.waits[e.Dest] = max(r.waits[e.Dest], e.At+e.Wait)
+	}
+	if !e.Proved && (!m.risk || at < m.riskAt) {
+		m.risk, m.riskAt = true, at
+	}
+	if e.OK {
+		m.over = true
+	}
+	c.forget(e.Msg, m)
+}
+
+func (c *Checker) final(e Event) {
+	m := c.msgs[e.Msg]
+	switch {
+	case m == nil || m.over:
+		if e.Kind != Dropped {
+			c.breaks(Answer, e, "a final answer to what is over or not held")
+		}
+		return
+	case e.Kind == Dropped:
+	case e.At > m.until+c.set.AnswerSlack:
+		c.breaks(Answer, e, "ended %v too late", e.At-m.until)
+	case e.Kind == Refused && m.effect == Unsafe && (m.risk || m.live > 0):
+		c.breaks(Repeat, e, "handed back, and may have run")
+	}
+	m.over = true
+	c.forget(e.Msg, m)
+}
+
+func (c *Checker) forget(id uint32, m *message) {
+	if m.over && m.live == 0 {
+		delete(c.msgs, id)
+	}
+}
+
+// died forgets a relay with all that it held.
+func (c *Checker) died(e Event) {
+	for id, m := range c.msgs {
+		if m.relay == e.Relay {
+			delete(c.msgs, id)
+		}
+	}
+	for id, k := range c.calls {
+		if k.relay == e.Relay {
+			delete(c.calls, id)
+		}
+	}
+	delete(c.relays, e.Relay)
+	for _, d := range c.dests {
+		delete(d.learned, e.Relay)
+	}
+}
+
+// fallSlack is how much over the budget of a cold destination is still chance, in messages.
+const fallSlack = 3
+
+func (c *Checker) reached(e Event) {
+	d := c.dest(e.Dest)
+	if !d.cold {
+		return
+	}
+	keep := 0
+	for keep < len(d.loads) && d.loads[keep].at <= e.At-c.set.FallFor {
+		keep++
+	}
+	d.loads = append(d.loads[keep:], load{e.At, e.Weight, d.learned[e.Relay]})
+	all, learned := 0.0, 0.0
+	for _, l := range d.loads {
+		if all += l.weight; l.learned {
+			learned += l.weight
+		}
+	}
+	if all > c.set.FallMultiple*e.Capacity*c.set.FallFor.Seconds()+fallSlack {
+		if learned >= all*2/3 {
+			c.breaks(FailBack, e, "destination %d was sent %.1f within %v at a capacity of %.2f/s, %.1f by those that saw it fail", e.Dest, all, c.set.FallFor, e.Capacity, learned)
+		}
+		d.loads = d.loads[:0] // one fall, one break
+	}
+}
--- /dev/null
+++ b/internal/lab/site/draw.go
@@ -0,0 +1,266 @@
+package site
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oatfold/internal/lab/emu"
+	"oatfold/policy"
+)
+
+// drawer draws figures. Each has a source of its own, named by its key, so that a key that is added shifts no other.
+type drawer struct{ seed uint64 }
+
+func (d drawer) rng(key string, of ...int) *rand.Rand {
+	h := d.seed ^ 0x9e3779b97f4a7c15
+	mix := func(v uint64) {
+		h = (h ^ v) * 0xff51afd7ed558ccd
+		h ^= h >> 32
+	}
+	for _, b := range []byte(key) {
+		mix(uint64(b))
+	}
+	for _, n := range of {
+		mix(uint64(n) + 1)
+	}
+	return rand.New(rand.NewPCG(h, d.seed))
+}
+
+// draw draws from r; without one it is the fallback.
+func (d drawer) draw(key string, r *Range, fallback float64, of ...int) float64 {
+	if r == nil {
+		return fallback
+	}
+	if r.To == nil {
+		return r.From
+	}
+	return r.From + (*r.To-r.From)*d.rng(key, of...).Float64()
+}
+
+func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func ms(s float64) time.Duration { return time.Duration(s * float64(time.Millisecond)) }
+
+func or(v, fallback float64) float64 {
+	if v == 0 {
+		return fallback
+	}
+	return v
+}
+
+// Prices are what the operators take off the result.
+var Prices = emu.Prices{Waste: 0.042, Handshake: 0.04, LateFail: 0.02, Refused: 0.05}
+
+// Draw draws a day of the site.
+func (s *Site) Draw(seed uint64) (*emu.Day, error) {
+	d := drawer{seed}
+	net, cl, disc, rules := s.Network, s.Clients, s.Discovery, s.Rules
+	if net == nil {
+		net = &Network{}
+	}
+	if cl == nil {
+		cl = &Clients{}
+	}
+	if disc == nil {
+		disc = &Discovery{}
+	}
+	if rules == nil {
+		rules = &Rules{}
+	}
+	day := &emu.Day{
+		Name: s.Name, Seed: seed, Length: secs(d.draw("length_s", s.LengthS, 50)), Tail: secs(d.draw("tail_s", s.TailS, 30)), Tick: ms(d.draw("tick_ms", s.TickMs, 5)),
+		Relays: int(d.draw("relays", s.Relays, 2) + 0.5), MaxAttempts: int(or(float64(s.MaxAttempts), 6)),
+		Clumps: d.draw("clumps", s.Clumps, 0), ClumpFor: secs(d.draw("clump_for_s", s.ClumpForS, 2)),
+		RTT: ms(d.draw("network.rtt_ms", net.RttMs, 30)), Client: ms(d.draw("network.client_ms", net.ClientMs, 1)), Jitter: d.draw("network.jitter", net.Jitter, 0.2),
+		Handshake: d.draw("network.handshake_rtts", net.HandshakeRtts, 2), Idle: secs(d.draw("network.idle_s", net.IdleS, 15)), Connect: secs(d.draw("network.connect_s", net.ConnectS, 1.5)),
+		Retries: int(d.draw("clients.retries", cl.Retries, 2)), Backoff: secs(d.draw("clients.backoff_s", cl.BackoffS, 0.5)), Honour: d.draw("clients.honour", cl.Honour, 0.7),
+		MaxAdvice: secs(d.draw("clients.max_advice_s", cl.MaxAdviceS, 3)), Again: secs(d.draw("clients.again_s", cl.AgainS, 1)),
+		Notice: secs(d.draw("discovery.notice_s", disc.NoticeS, 2)), Spread: secs(d.draw("discovery.spread_s", disc.SpreadS, 0.3)),
+		AnswerSlack: ms(or(rules.AnswerSlackMs, 20)), DrainGrace: secs(or(rules.DrainGraceS, 1)), FallMultiple: or(rules.FallMultiple, 2), FallFor: secs(or(rules.FallS, 3)),
+		ColdFrom: or(rules.ColdFrom, 0.2), Cold: secs(or(rules.ColdS, 11)), Prices: Prices,
+	}
+	mean, share := 0.0, 0.0
+	for i, c := range s.Class {
+		one := emu.Class{Class: policy.Class{Name: c.Name, Effect: policy.Effect(c.Effect), Window: secs(c.WindowS), Aim: secs(c.AimS), Deadline: secs(c.DeadlineS), Worth: c.Worth, LateWorth: c.LateWorth},
+			Share: d.draw("class.share", c.Share, 1, i), Work: ms(d.draw("class.work_ms", c.WorkMs, 150, i)), CV: d.draw("class.cv", c.Cv, 0.8, i),
+			Noise: d.draw("class.noise", c.Noise, 0.2, i), Exp: c.Exponential}
+		day.Classes = append(day.Classes, one)
+		mean += one.Share * one.Work.Seconds()
+		share += one.Share
+	}
+	for i := range day.Classes {
+		day.Classes[i].Share /= max(share, 1e-9)
+	}
+	mean /= max(share, 1e-9)
+	for i, k := range s.Kind {
+		day.Kinds = append(day.Kinds, emu.Kind{Name: k.Name, Batch: max(1, int(k.Batch)), ItemCost: d.draw("kind.item_cost", k.ItemCost, 0.1, i), Limit: emu.Limit(k.Limit),
+			Window: secs(d.draw("kind.window_s", k.WindowS, 1, i)), RefusedCount: d.rng("kind.refused", i).Float64() < d.draw("kind.refused_count", k.RefusedCount, 0, i),
+			TellsWait: d.draw("kind.tells_wait", k.TellsWait, 0.5, i), Wait: ms(d.draw("kind.wait_ms", k.WaitMs, 500, i)),
+			ColdFrom: d.draw("kind.cold_from", k.ColdFrom, 0.25, i), Cold: secs(d.draw("kind.cold_s", k.ColdS, 9, i)), ErrorRate: d.draw("kind.error_rate", k.ErrorRate, 0, i),
+			CancelsQueued: d.rng("kind.cancels", i).Float64() < d.draw("kind.cancels_queued", k.CancelsQueued, 0, i)})
+	}
+	n := max(1, int(d.draw("destinations", s.Destinations, 22)+0.5))
+	zones := max(1, int(d.draw("zones", s.Zones, 1)+0.5))
+	full := d.draw("rate", s.Rate, 4) * float64(n) // messages a second at load 1
+	zipf, ends := d.draw("zipf", s.Zipf, 0.85), d.draw("endpoints", s.Endpoints, 1.6)
+	total := 0.0
+	for i := range n {
+		total += math.Pow(float64(i+1), -zipf)
+	}
+	busy := 0.0
+	order := d.rng("order").Perm(n)
+	for no, rank := range order {
+		r := d.rng("dest", no)
+		at := kindAt(s.Kind, r.Float64())
+		k := s.Kind[at]
+		share := math.Pow(float64(rank+1), -zipf) / total
+		calls := share * full
+		limit := max(d.draw("kind.least_rate", k.LeastRate, 2, at), calls*d.draw("kind.headroom", k.Headroom, 1.5, no))
+		can := limit * d.draw("kind.spare", k.Spare, 1.3, no)
+		cv := d.draw("kind.slow_cv", k.SlowCv, 0.5, at)
+		v := math.Log(1 + cv*cv)
+		pace := math.Exp(r.NormFloat64()*math.Sqrt(v)-v/2) * d.draw("kind.speed", k.Speed, 1, at)
+		eps := 1
+		for p := (ends - 1) / 3; eps < 4 && r.Float64() < p*(1.5-float64(rank)/float64(n)); eps++ {
+		}
+		workers := max(eps, int(math.Ceil(can*mean/pace)))
+		dst := emu.Dest{Kind: at, Share: share, Zone: fmt.Sprintf("zone-%d", 1+no%zones)}
+		if k.Limit != Limit_NONE {
+			dst.Limit = limit
+		}
+		speed := can * mean / float64(workers)
+		for e := range eps {
+			have := workers / eps
+			if e < workers%eps {
+				have++
+			}
+			one := emu.Endpoint{Workers: have, Speed: speed, Queue: max(1, int(d.draw("kind.depth_s", k.DepthS, 0.7, at)*can/float64(eps)))}
+			if k.Conns != nil {
+				one.Conns = max(int(k.LeastConns), int(d.draw("kind.conns", k.Conns, 3, at)*float64(have)))
+			}
+			dst.Endpoints = append(dst.Endpoints, one)
+		}
+		busy += calls / float64(max(1, k.Batch)) * (mean/speed + day.RTT.Seconds())
+		day.Dests = append(day.Dests, dst)
+	}
+	day.Slots = max(int(or(float64(s.LeastSlots), 2)), int(d.draw("slots_room", s.SlotsRoom, 2)*busy/float64(day.Relays)))
+	day.Hold = max(int(or(float64(s.LeastHold), 12)), int(d.draw("hold_s", s.HoldS, 8)*full/float64(day.Relays)))
+	day.Rate = d.draw("load", s.Load, 0.8) * full
+	if swing := d.draw("swing", s.Swing, 0); swing > 0 {
+		phase := 2 * math.Pi * d.rng("phase").Float64()
+		for i := range 49 {
+			x := float64(i) / 48
+			day.Shape = append(day.Shape, emu.Point{At: time.Duration(x * float64(day.Length)), Multiple: 1 + swing*math.Sin(phase+2*math.Pi*x*1.5)})
+		}
+	}
+	return day, nil
+}
+
+func kindAt(kinds []*Kind, x float64) int {
+	total := 0.0
+	for _, k := range kinds {
+		total += or(k.Share, 1)
+	}
+	x *= total
+	for i, k := range kinds {
+		if x -= or(k.Share, 1); x < 0 {
+			return i
+		}
+	}
+	return len(kinds) - 1
+}
+
+// Add draws troubles into a day.
+func Add(day *emu.Day, list []*Trouble, seed uint64) error {
+	d := drawer{seed}
+	for i, t := range list {
+		at := func(key string) string { return "trouble." + key }
+		one := emu.Trouble{Kind: emu.TroubleKind(t.Kind), Len: secs(d.draw(at("len_s"), t.LenS, 10, i)), Size: d.draw(at("size"), t.Size, 1, i), Every: secs(d.draw(at("every_s"), t.EveryS, 2, i))}
+		if one.At = secs(d.draw(at("at_s"), t.AtS, 0, i)); t.AtS == nil {
+			one.At = secs(day.Length.Seconds() * (0.1 + 0.6*d.rng(at("at_s"), i).Float64()))
+		}
+		for _, n := range t.Dest {
+			one.Dests = append(one.Dests, int(n))
+		}
+		if t.Busiest {
+			most := 0
+			for n := range day.Dests {
+				if day.Dests[n].Share > day.Dests[most].Share {
+					most = n
+				}
+			}
+			one.Dests = append(one.Dests, most)
+		}
+		if t.Zone > 0 {
+			one.Zone = fmt.Sprintf("zone-%d", t.Zone)
+			if !slices.ContainsFunc(day.Dests, func(x emu.Dest) bool { return x.Zone == one.Zone }) {
+				return fmt.Errorf("trouble[%d].zone: there is no zone %d", i, t.Zone)
+			}
+		}
+		if t.Part != nil {
+			want, got := d.draw(at("part"), t.Part, 0, i), 0.0
+			for _, n := range d.rng(at("who"), i).Perm(len(day.Dests)) {
+				if share := day.Dests[n].Share; got == 0 || got+share <= want*1.15 {
+					one.Dests = append(one.Dests, n)
+					got += share
+				}
+				if got >= want {
+					break
+				}
+			}
+		}
+		relays := t.Relay
+		if len(relays) == 0 {
+			switch one.Kind {
+			case emu.RelayCrash, emu.RelayStall:
+				for n := range day.Relays {
+					relays = append(relays, int32(n))
+				}
+			}
+		}
+		if each := d.draw(at("each_s"), t.EachS, 0, i); each > 0 {
+			for n, r := range relays {
+				turn := one
+				turn.At += secs(each * float64(n))
+				turn.Relays = []int{int(r)}
+				day.Troubles = append(day.Troubles, turn)
+			}
+			continue
+		}
+		for _, r := range relays {
+			one.Relays = append(one.Relays, int(r))
+		}
+		day.Troubles = append(day.Troubles, one)
+	}
+	return nil
+}
+
+// Day draws the day of a script. base is the site where the script names none.
+func (s *Script) Day(base *Site, seed uint64) (*emu.Day, error) {
+	if s.Site != "" {
+		var err error
+		if base, err = ReadSite(s.Site); err != nil {
+			return nil, err
+		}
+	}
+	c := proto.Clone(base).(*Site)
+	for _, o := range []struct {
+		own *Range
+		at  **Range
+	}{{s.Load, &c.Load}, {s.Relays, &c.Relays}, {s.Destinations, &c.Destinations}, {s.Clumps, &c.Clumps}, {s.LengthS, &c.LengthS}} {
+		if o.own != nil {
+			*o.at = o.own
+		}
+	}
+	day, err := c.Draw(seed)
+	if err != nil {
+		return nil, err
+	}
+	day.Name = s.Name
+	return day, Add(day, s.Trouble, seed)
+}
--- a/internal/standin/partner.go
+++ b/internal/standin/partner.go
@@ -40,6 +40,7 @@
 	ColdFor   time.Duration // until it is warm
 	FallAfter float64       // sent more than this multiple of the present rate over a second while cold, it falls silent for good; 0: never
 	Now       func() time.Time
+	Ran       func(body []byte) // not nil: told of each message that runs, in place of the ledger
 }
 
 // Partner is a destination with its endpoints.
@@ -125,6 +126,14 @@
 	return ids
 }
 
+// Addresses are where the endpoints listen.
+func (p *Partner) Addresses() (all []string) {
+	for _, e := range p.ends {
+		all = append(all, e.addr)
+	}
+	return all
+}
+
 // Set puts a mode in force for that share of the calls (1: all). Calls that were kept silent break. A partner that
 // comes back from an outage is cold, if it is set so.
 func (p *Partner) Set(m Mode, share float64) error {
@@ -238,6 +247,11 @@
 	}
 	run := func() {
 		for i := range items {
+			if p.set.Ran != nil {
+				p.set.Ran(items[i].Body)
+				items[i] = entry{ID: items[i].ID, State: "ok"}
+				continue
+			}
 			p.ledger.book(p.set.Dest, items[i].ID, items[i].Key, r.Header.Get("X-Form"), items[i].Body, p.set.Now())
 			items[i] = entry{ID: items[i].ID, State: "ok"}
 		}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -137,6 +137,13 @@
 	return r.cmd.Process.Signal(s)
 }
 
+// Pid is the process's number.
+func (r *Relay) Pid() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cmd.Process.Pid
+}
+
 // Kill ends the process with SIGKILL and waits until it is gone.
 func (r *Relay) Kill() {
 	if r.Signal(syscall.SIGKILL) == nil {
