--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -36,6 +36,7 @@
 	level    slog.Level
 	format   string
 	operator string // path of the operator's file
+	profile  string // file for a CPU profile; empty: none
 }
 
 // log returns the program's log on standard error.
@@ -98,6 +99,7 @@
 	serving := &cobra.Command{Use: "serve", Short: "Serve as a relay (the default)", Args: noArgs,
 		RunE: func(*cobra.Command, []string) error { return serve(o) }}
 	for _, cmd := range []*cobra.Command{root, serving} {
+		cmd.Flags().StringVar(&o.profile, "cpu-profile", "", "write a CPU profile to this `file`, whole once the relay has stopped")
 		cmd.Flags().StringVar(&o.operator, "operator", "", "the operator's `file`, in protobuf text format")
 	}
 	root.AddCommand(serving, sendCommand(o), checkCommand(o), pluginCommand(o), journalCommand(), labCommand(), &cobra.Command{Use: "version",
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/pprof"
 
 	"oatfold/internal/daemon"
 	"oatfold/internal/daemon/config"
@@ -15,6 +16,17 @@
 	if o.operator != "" {
 		from.Operator = func(c *config.Config) (*operator.Config, error) { return operator.Load(o.operator, c.MemoryBytes) }
 	}
+	if o.profile != "" {
+		f, err := os.Create(o.profile)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	if err := daemon.Run(from, log); err != nil {
 		log.Error("stopped", "err", err)
 		return exitError(exitFault)
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -216,7 +216,8 @@
 	seen    map[string]bool
 	Latency *hdrhistogram.Histogram // from due to done, in microseconds
 	Done    int
-	Doubles int
+	Doubles int // orders and charges among them: see Wrong
+	Wrong   int // charges that ran twice, and orders that ran twice beyond any window
 	InAim   int
 	Worth   float64 // served within its aim
 }
@@ -245,6 +246,9 @@
 	defer m.mu.Unlock()
 	if m.seen[name] {
 		m.Doubles++
+		if class == "fee-charge" {
+			m.Wrong++
+		}
 		return
 	}
 	m.seen[name] = true
