--- /dev/null
+++ b/internal/lab/load/record_test.go
@@ -0,0 +1,85 @@
+package load_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"oatfold/internal/lab/load"
+	"oatfold/internal/lab/rules"
+	"oatfold/internal/standin"
+)
+
+// world is four partners that break calls, refuse them with waits, lose answers after they ran, and one that is well.
+func world(t *testing.T, r *load.Recorder) *standin.World {
+	t.Helper()
+	var partners []standin.PartnerConfig
+	for d := range 4 {
+		partners = append(partners, standin.PartnerConfig{Dest: d + 1, Wait: 300 * time.Millisecond, Watch: r.Seen})
+	}
+	partners[2].Kind = "broker"
+	w, err := standin.NewWorld(standin.Config{Seed: 1, Partners: partners, Hold: 2000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	w.Platform.Watch(r.Noticed)
+	for d, m := range map[int]standin.Mode{1: standin.Shut, 2: standin.ResetRan, 3: standin.Broken} {
+		if err := w.Partners[d].Set(m, 0.15); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return w
+}
+
+func under(t *testing.T, addr string, r *load.Recorder) *load.Report {
+	t.Helper()
+	rep, err := load.Run(context.Background(), load.Config{Addr: addr, Rate: 150, For: 3 * time.Second, Dests: []int{1, 2, 3, 4}, Mix: load.Mix, Conns: 32, Body: 200, Seed: 3, Watch: r})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rep
+}
+
+// The checker on real sockets: the relay keeps the rules under faults, and a forwarder that heeds nothing is found out by the same checker.
+func TestRulesOnSockets(t *testing.T) {
+	bin, err := standin.Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := load.NewRecorder(32)
+	w := world(t, r)
+	relay, err := w.StartRelay(bin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := under(t, relay.Addr, r)
+	if err := w.Until("every message's end", func() bool { return r.Open() == 0 }); err != nil {
+		t.Error(err)
+	}
+	if breaks, _ := r.Finish(); len(breaks) > 0 || rep.Taken < 300 || rep.Failed > 0 {
+		t.Errorf("%+v: %v", rep, breaks)
+	}
+
+	r = load.NewRecorder(32)
+	w = world(t, r)
+	var to []string
+	for _, p := range w.Partners {
+		to = append(to, p.Addresses()...)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	addr, ended := make(chan string, 1), make(chan error, 1)
+	go func() { ended <- load.Forward(ctx, to, func(a string) { addr <- a }) }()
+	under(t, <-addr, r)
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if _, counts := r.Finish(); counts[rules.Wait] == 0 || counts[rules.Place] == 0 {
+		t.Errorf("the forwarder breaks waits and places, found %v", counts)
+	}
+	if _, err := load.Use(os.Getpid()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/partner.go
+++ b/internal/standin/partner.go
@@ -40,9 +40,20 @@
 	ColdFor   time.Duration // until it is warm
 	FallAfter float64       // sent more than this multiple of the present rate over a second while cold, it falls silent for good; 0: never
 	Now       func() time.Time
+	Watch     func(Call)        // not nil: told of each call as it comes and as it ends
 	Ran       func(body []byte) // not nil: told of each message that runs, in place of the ledger
 }
 
+// Call is what a partner sees of a call, as it comes and as it ends.
+type Call struct {
+	Dest  int
+	IDs   []string
+	Ended bool
+	OK    bool          // Ended: it ran, and that was answered
+	Ran   bool          // Ended: it may have run
+	Wait  time.Duration // Ended: told
+}
+
 // Partner is a destination with its endpoints.
 type Partner struct {
 	set    PartnerConfig
@@ -256,6 +267,16 @@
 			items[i] = entry{ID: items[i].ID, State: "ok"}
 		}
 	}
+	seen := Call{Dest: p.set.Dest, Ran: true}
+	if p.set.Watch != nil {
+		for _, it := range items {
+			seen.IDs = append(seen.IDs, it.ID)
+		}
+		p.set.Watch(seen)
+		seen.Ended = true
+		defer func() { p.set.Watch(seen) }()
+		w = &watched{w, &seen}
+	}
 	p.mu.Lock()
 	release := p.release
 	p.mu.Unlock()
@@ -296,7 +317,27 @@
 		time.Sleep(p.set.Serve)
 	}
 	run()
+	seen.OK = true
 	if r.URL.Path == "/hook/batch" {
 		json.NewEncoder(w).Encode(items)
 	}
 }
+
+// watched notes what a call is answered, before the answer goes out: what comes after it is sent in knowledge of it.
+type watched struct {
+	http.ResponseWriter
+	seen *Call
+}
+
+// Unwrap is for http.ResponseController.
+func (w *watched) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *watched) WriteHeader(status int) {
+	if status == 429 || status == 503 {
+		w.seen.Ran = false
+		if ms, err := strconv.Atoi(w.Header().Get("Wait-Ms")); err == nil {
+			w.seen.Wait = time.Duration(ms) * time.Millisecond
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -41,6 +41,7 @@
 	list       map[string]*instance
 	changed    chan struct{}
 	notices    []Notice
+	watch      func(Notice)
 	silent     chan struct{} // not nil: nothing is answered until it is closed
 	news       *news
 	server     *http.Server
@@ -162,11 +163,24 @@
 	}
 	p.mu.Lock()
 	p.notices = append(p.notices, got...)
+	watch := p.watch
 	p.mu.Unlock()
+	for _, n := range got {
+		if watch != nil {
+			watch(n)
+		}
+	}
 	w.WriteHeader(204)
 	p.news.tell()
 }
 
+// Watch makes f be told of each notice, before it is answered.
+func (p *Platform) Watch(f func(Notice)) {
+	p.mu.Lock()
+	p.watch = f
+	p.mu.Unlock()
+}
+
 // Notices returns the notices by message.
 func (p *Platform) Notices() map[string]Notice {
 	p.mu.Lock()
