Trace the front socket in a ring that SIGUSR1 writes

Change: the last 4,096 events of the front socket, some 160 KB; nothing is formatted until it is asked for. The laboratory's variant of a whole share is dropped: another bound of three quarters made it the same as the module in service.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,6 +83,8 @@
 	load := from.Platform
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	traces := make(chan os.Signal, 1)
+	signal.Notify(traces, syscall.SIGUSR1) // from the start on: unheard it would end the process
 	c, err := load()
 	if err != nil {
 		return err
@@ -138,6 +140,13 @@
 	clients, _ := sockets(c)
 	front := wire.NewFront(ln, &c.Settings, clients, host.Events(), log)
 	front.Plug(holder)
+	go func() {
+		for range traces {
+			if err := front.Trace(os.Stderr); err != nil {
+				log.Error("trace not written", "err", err)
+			}
+		}
+	}()
 	host.Watch(c.Discovery)
 	ended := make(chan struct{})
 	done := make(chan struct{})
--- a/internal/lab/study/study.go
+++ b/internal/lab/study/study.go
@@ -90,7 +90,7 @@
 // Variants are the modules that arms may name.
 var Variants = map[string]emu.Maker{
 	"": emu.Service, "service": emu.Service,
-	"half-share": share(0.5), "whole-share": share(1),
+	"half-share": share(0.5),
 }
 
 // share makes the module in service with another share of the slots for one destination.
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -51,6 +51,8 @@
 	most     int // connections at once
 	conns    map[*frontConn]struct{}
 	crowdTil time.Time
+	last     uint32 // number of the last connection
+	trace    trace
 }
 
 // The states of a client's connection.
@@ -63,6 +65,7 @@
 )
 
 type frontConn struct {
+	no    uint32
 	sock  net.Conn
 	state frontState // under Front.mu
 	since time.Time
@@ -89,6 +92,7 @@
 // NewFront returns a front socket on ln that takes at most so many connections at once.
 func NewFront(ln net.Listener, set *policy.Settings, most int, events chan<- any, log *slog.Logger) *Front {
 	f := &Front{ln: ln, events: events, log: log, conns: map[*frontConn]struct{}{}, free: make(chan struct{}, 1)}
+	f.trace.began = time.Now()
 	f.Configure(set, most)
 	return f
 }
@@ -127,7 +131,10 @@
 		}
 		c := &frontConn{sock: sock, since: time.Now()}
 		f.mu.Lock()
+		f.last++
+		c.no = f.last
 		f.conns[c] = struct{}{}
+		f.trace.note(c.no, traceAccept, int64(len(f.conns)), 0)
 		limit := silentLimit
 		if c.since.Before(f.crowdTil) {
 			limit = crowdLimit // it may have waited long to be accepted
@@ -141,16 +148,24 @@
 // makeRoom waits until a further connection may be taken. Guards against crowds that connect and say nothing: those
 // of them that had their time give way, then the kept connection that has been idle longest.
 func (f *Front) makeRoom() {
+	waits := time.Time{}
 	for !f.closing.Load() {
 		f.mu.Lock()
 		now, short := time.Now(), len(f.conns) >= f.most
 		if short {
 			var oldest *frontConn
-			silent := 0
+			silent, fresh, idle := 0, 0, 0
 			for c := range f.conns {
+				switch c.state {
+				case frontNew:
+					fresh++
+				case frontIdle:
+					idle++
+				}
 				switch {
 				case c.state == frontNew && now.Sub(c.since) >= crowdLimit:
 					c.sock.SetReadDeadline(time.Unix(1, 0))
+					f.trace.note(c.no, traceGiveWay, int64(c.state), 0)
 					silent++
 				case c.state == frontIdle && (oldest == nil || c.since.Before(oldest.since)):
 					oldest = c
@@ -158,10 +173,18 @@
 			}
 			if f.crowdTil = now.Add(crowdSpan); silent == 0 && oldest != nil {
 				oldest.sock.SetReadDeadline(time.Unix(1, 0))
+				f.trace.note(oldest.no, traceGiveWay, int64(oldest.state), 0)
+			}
+			if waits.IsZero() {
+				waits = now
+				f.trace.note(0, traceWait, int64(fresh), int64(idle))
 			}
 		}
 		f.mu.Unlock()
 		if !short {
+			if !waits.IsZero() {
+				f.trace.note(0, traceGone, now.Sub(waits).Microseconds(), 0)
+			}
 			return
 		}
 		select {
@@ -224,6 +247,7 @@
 		c.sock.Close()
 		f.mu.Lock()
 		delete(f.conns, c)
+		f.trace.note(c.no, traceClose, int64(c.state), time.Since(c.since).Microseconds())
 		f.mu.Unlock()
 		f.tell()
 	}()
@@ -233,13 +257,14 @@
 			return // closed by the client, or by us while idle: nothing was read
 		}
 		// Guards against closing an idle connection on which a request has just come in: it is answered.
+		f.trace.note(c.no, traceFirst, time.Since(c.since).Microseconds(), 0)
 		f.enter(c, frontBusy)
 		now := time.Now()
 		readBy := now.Add(readLimit)
 		if first {
 			readBy = connected.Add(readLimit)
 		}
-		if c.sock.SetReadDeadline(readBy); !f.one(c.sock, r, now) || f.closing.Load() {
+		if c.sock.SetReadDeadline(readBy); !f.one(traced{c.sock, f, c.no, now}, r, now) || f.closing.Load() {
 			return
 		}
 		f.enter(c, frontIdle)
@@ -403,7 +428,7 @@
 	}
 	if status != 0 && f.reply(sock, status, 0, false, err) == nil {
 		// Guards against a reset that overtakes the answer: what the client still sends is read away.
-		if t, ok := sock.(*net.TCPConn); ok {
+		if t, ok := sock.(traced).Conn.(*net.TCPConn); ok {
 			t.CloseWrite()
 		}
 		sock.SetReadDeadline(time.Now().Add(lingerLimit))
@@ -437,3 +462,23 @@
 	_, err := sock.Write(append(appendLength(b, len(text)), text...))
 	return err
 }
+
+// traced is a client's connection that notes its answers.
+type traced struct {
+	net.Conn
+	f     *Front
+	no    uint32
+	began time.Time
+}
+
+func (t traced) Write(b []byte) (int, error) {
+	n, err := t.Conn.Write(b)
+	if len(b) > 12 {
+		status, _ := strconv.Atoi(string(b[9:12]))
+		if err != nil {
+			status = -status // it did not get through
+		}
+		t.f.trace.note(t.no, traceAnswer, int64(status), time.Since(t.began).Microseconds())
+	}
+	return n, err
+}
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -351,3 +351,55 @@
 	}
 	host.Unlock()
 }
+
+// The trace tells what became of each connection, the oldest event first, and forgets the oldest when it is full.
+func TestTrace(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := NewFront(ln, &policy.Settings{}, 10, make(chan any, 1), quiet)
+	f.Ready(true)
+	go f.Serve()
+	sock, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		fmt.Fprint(sock, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		if _, err := http.ReadResponse(bufio.NewReader(sock), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sock.Close()
+	for f.Busy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Drain()
+	names := func() (all []string) {
+		var out strings.Builder
+		if err := f.Trace(&out); err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(out.String()) {
+			w := strings.Fields(line)
+			if len(w) != 6 || w[0] != "trace" || w[2] != "c1" {
+				t.Fatalf("line %q", line)
+			}
+			all = append(all, w[3]+" "+w[4])
+		}
+		return all
+	}
+	got := names()
+	for i, want := range []string{"accept 1", "first", "answer 200", "first", "answer 200", "close 1"} {
+		if i >= len(got) || !strings.HasPrefix(got[i], want) {
+			t.Fatalf("trace %q, want %q at %d", got, want, i)
+		}
+	}
+	for range traceRoom - 1 {
+		f.trace.note(1, traceClose, 2, 0)
+	}
+	if all := names(); len(all) != traceRoom || all[0] != "close 1" || all[traceRoom-1] != "close 2" {
+		t.Errorf("%d events, from %q to %q", len(all), all[0], all[len(all)-1])
+	}
+}
