--- a/internal/memory/journal/inspect.go
+++ b/internal/memory/journal/inspect.go
@@ -104,26 +104,26 @@
 // describe is a record as audits see it; bodies stay out.
 func describe(name string, at, size int, payload []byte) Record {
 	r := Record{Segment: name, Offset: at, Bytes: size, Kind: kindNames[payload[0]]}
-	f := &fields{b: payload[1:]}
+	f := &fields{memory.Fields{B: payload[1:]}}
 	switch payload[0] {
 	case recTaken, recUnkept, recKept:
 		m := f.message()
 		r.Num, r.ID, r.Class, r.Dest, r.Key, r.AtUs = m.Num, m.ID, m.Class, &m.Dest, m.Key, m.Deadline.UnixMicro()
 	case recOut:
-		r.AtUs = f.int()
+		r.AtUs = f.Int()
 		nums(payload, func(n uint32) { r.Nums = append(r.Nums, int(n)) })
 		if len(r.Nums) == 1 {
 			r.Num, r.Nums = uint32(r.Nums[0]), nil
 		}
 	case recOwed:
-		r.Num = uint32(f.uint())
-		r.Outcome = map[bool]string{true: "handed_back", false: "given_up"}[f.notice().Refused]
+		r.Num = uint32(f.Uint())
+		r.Outcome = map[bool]string{true: "handed_back", false: "given_up"}[f.Notice().Refused]
 	case recOver:
-		r.Num = uint32(f.uint())
-		f.uint()
-		r.ID = string(f.text())
+		r.Num = uint32(f.Uint())
+		f.Uint()
+		r.ID = string(f.Text())
 	default:
-		r.Num = uint32(f.uint())
+		r.Num = uint32(f.Uint())
 	}
 	return r
 }
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -475,7 +475,7 @@
 		err = ErrBody
 		walk(raw, func(_, _ int, payload []byte, bad error) {
 			if bad == nil && err != nil && (payload[0] == recTaken || payload[0] == recKept) {
-				if m := (&fields{b: payload[1:]}).message(); m.Num == num {
+				if m := (&fields{memory.Fields{B: payload[1:]}}).message(); m.Num == num {
 					body, err = m.Body, nil
 				}
 			}
@@ -774,8 +774,8 @@
 			nums(payload, func(n uint32) { taken[n] = struct{}{} })
 		}
 		if payload[0] == recOver {
-			f := &fields{b: payload[1:]}
-			num, ordinal, id := uint32(f.uint()), f.uint(), f.text()
+			f := &fields{memory.Fields{B: payload[1:]}}
+			num, ordinal, id := uint32(f.Uint()), f.Uint(), f.Text()
 			_, here := taken[num]
 			waits := w.allOver && !here
 			r.waits = r.waits || waits
--- a/internal/memory/journal/record.go
+++ b/internal/memory/journal/record.go
@@ -159,13 +159,6 @@
 	return t.UnixMicro()
 }
 
-func wallTime(us int64) time.Time {
-	if us == 0 {
-		return time.Time{}
-	}
-	return time.UnixMicro(us)
-}
-
 // appendKept adds to a message what has happened to it. A step that is out counts as risk from its start on.
 func appendKept(b []byte, m *memory.Message) []byte {
 	b = appendMessage(b, m)
@@ -177,56 +170,12 @@
 	return b
 }
 
-// fields takes a payload apart; after the first field that is not there, bad is set.
-type fields struct {
-	b   []byte
-	bad bool
-}
-
-func (r *fields) uint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *fields) int() int64 {
-	v, n := binary.Varint(r.b)
-	if n <= 0 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *fields) text() []byte {
-	n := r.uint()
-	if r.bad || n > uint64(len(r.b)) {
-		r.bad, r.b = true, nil
-		return nil
-	}
-	s := r.b[:n]
-	r.b = r.b[n:]
-	return s
-}
-
-func (r *fields) notice() memory.Notice {
-	if len(r.b) == 0 {
-		r.bad = true
-		return memory.Notice{}
-	}
-	refused := r.b[0] == 1
-	r.b = r.b[1:]
-	return memory.Notice{Refused: refused, Advice: time.Duration(r.uint()) * time.Microsecond}
-}
+// fields takes a payload apart.
+type fields struct{ memory.Fields }
 
 func (r *fields) message() *memory.Message {
-	return &memory.Message{Num: uint32(r.uint()), Deadline: time.UnixMicro(r.int()), Dest: int(r.int()), ID: string(r.text()),
-		Class: string(r.text()), Key: string(r.text()), Body: append([]byte(nil), r.text()...)}
+	return &memory.Message{Num: uint32(r.Uint()), Deadline: time.UnixMicro(r.Int()), Dest: int(r.Int()), ID: string(r.Text()),
+		Class: string(r.Text()), Key: string(r.Text()), Body: append([]byte(nil), r.Text()...)}
 }
 
 // state is what records add up to.
@@ -242,18 +191,18 @@
 
 // apply takes one record in. Records of messages that are not there are of those that were over and cleaned away.
 func (s *state) apply(payload []byte) error {
-	r := &fields{b: payload[1:]}
+	r := &fields{memory.Fields{B: payload[1:]}}
 	switch kind := payload[0]; kind {
 	case recTaken, recUnkept, recKept:
 		m := r.message()
 		m.Unkept = kind == recUnkept
 		if kind == recKept {
-			if m.Steps, m.RiskAt = int(r.uint()), wallTime(r.int()); len(r.b) > 0 {
-				n := r.notice()
+			if m.Steps, m.RiskAt = int(r.Uint()), memory.WallTime(r.Int()); len(r.B) > 0 {
+				n := r.Notice()
 				m.Owed = &n
 			}
 		}
-		if r.bad || s.table.Get(m.Num) != nil {
+		if r.Bad || s.table.Get(m.Num) != nil {
 			return fmt.Errorf("message cut short or there already")
 		}
 		s.top = max(s.top, m.Num)
@@ -262,9 +211,9 @@
 			s.table.Spill(m)
 		}
 	case recOut:
-		at := time.UnixMicro(r.int())
-		for len(r.b) > 0 && !r.bad {
-			n := uint32(r.uint())
+		at := time.UnixMicro(r.Int())
+		for len(r.B) > 0 && !r.Bad {
+			n := uint32(r.Uint())
 			s.top = max(s.top, n)
 			if m := s.table.Get(n); m != nil {
 				s.settle(m)
@@ -273,23 +222,23 @@
 			}
 		}
 	case recNotes, recNotRun, recOwed, recOver:
-		n := uint32(r.uint())
+		n := uint32(r.Uint())
 		s.top = max(s.top, n)
 		m := s.table.Get(n)
 		switch kind {
 		case recNotes:
-			if text := r.text(); m != nil {
+			if text := r.Text(); m != nil {
 				m.Notes = append([]byte(nil), text...)
 			}
 		case recNotRun:
 			delete(s.pending, n)
 		case recOwed:
-			if notice := r.notice(); m != nil && !r.bad {
+			if notice := r.Notice(); m != nil && !r.Bad {
 				s.table.Owe(m, notice)
 			}
 		case recOver:
-			ordinal, id := r.uint(), string(r.text())
-			if r.bad {
+			ordinal, id := r.Uint(), string(r.Text())
+			if r.Bad {
 				break
 			}
 			s.overs = max(s.overs, ordinal)
@@ -306,7 +255,7 @@
 	default:
 		return fmt.Errorf("unknown kind %q", kind)
 	}
-	if r.bad {
+	if r.Bad {
 		return errCut
 	}
 	return nil
@@ -330,12 +279,12 @@
 
 // nums calls f with each message that a record is of.
 func nums(payload []byte, f func(num uint32)) {
-	r := &fields{b: payload[1:]}
+	r := &fields{memory.Fields{B: payload[1:]}}
 	if payload[0] != recOut {
-		f(uint32(r.uint()))
+		f(uint32(r.Uint()))
 		return
 	}
-	for r.int(); len(r.b) > 0 && !r.bad; {
-		f(uint32(r.uint()))
+	for r.Int(); len(r.B) > 0 && !r.Bad; {
+		f(uint32(r.Uint()))
 	}
 }
--- a/internal/memory/legacy.go
+++ b/internal/memory/legacy.go
@@ -26,60 +26,6 @@
 	recOver   byte = 'X' // nothing more is owed
 )
 
-func wallTime(us int64) time.Time {
-	if us == 0 {
-		return time.Time{}
-	}
-	return time.UnixMicro(us)
-}
-
-// reader takes a record apart; after the first field that is not there, bad is set.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) uint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) int() int64 {
-	v, n := binary.Varint(r.b)
-	if n <= 0 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) text() string {
-	n := r.uint()
-	if r.bad || n > uint64(len(r.b)) {
-		r.bad, r.b = true, nil
-		return ""
-	}
-	s := string(r.b[:n])
-	r.b = r.b[n:]
-	return s
-}
-
-func (r *reader) notice() Notice {
-	if len(r.b) == 0 {
-		r.bad = true
-		return Notice{}
-	}
-	refused := r.b[0] == 1
-	r.b = r.b[1:]
-	return Notice{Refused: refused, Advice: time.Duration(r.uint()) * time.Microsecond}
-}
-
 // ReadLegacy takes the records of a segment of the first form. It stops at a torn tail; a whole record that makes no
 // sense is told of and passed over.
 func ReadLegacy(raw []byte, bad func(at int, err error)) *Table {
@@ -121,22 +67,22 @@
 }
 
 func apply(payload []byte, t *Table, pending map[uint32]time.Time) error {
-	r := &reader{b: payload[1:]}
+	r := &Fields{B: payload[1:]}
 	kind := payload[0]
 	var m *Message
 	switch kind {
 	case recTaken, recKept:
-		m = &Message{Num: uint32(r.uint()), Deadline: time.UnixMicro(r.int()), Dest: int(r.int()), ID: r.text(),
-			Class: r.text(), Key: r.text(), Body: []byte(r.text())}
+		m = &Message{Num: uint32(r.Uint()), Deadline: time.UnixMicro(r.Int()), Dest: int(r.Int()), ID: string(r.Text()),
+			Class: string(r.Text()), Key: string(r.Text()), Body: []byte(string(r.Text()))}
 		var out time.Time
 		if kind == recKept {
-			m.Steps, m.RiskAt, out = int(r.uint()), wallTime(r.int()), wallTime(r.int())
-			if len(r.b) > 0 {
-				n := r.notice()
+			m.Steps, m.RiskAt, out = int(r.Uint()), WallTime(r.Int()), WallTime(r.Int())
+			if len(r.B) > 0 {
+				n := r.Notice()
 				m.Owed = &n
 			}
 		}
-		if r.bad || t.Get(m.Num) != nil {
+		if r.Bad || t.Get(m.Num) != nil {
 			return fmt.Errorf("message cut short or there already")
 		}
 		t.Add(m)
@@ -145,9 +91,9 @@
 		}
 		return nil
 	case recOut:
-		at := time.UnixMicro(r.int())
-		for len(r.b) > 0 && !r.bad {
-			n := uint32(r.uint())
+		at := time.UnixMicro(r.Int())
+		for len(r.B) > 0 && !r.Bad {
+			n := uint32(r.Uint())
 			if m := t.Get(n); m != nil {
 				settle(m, pending)
 				m.Steps++
@@ -156,20 +102,20 @@
 		}
 		return nil
 	}
-	if m = t.Get(uint32(r.uint())); m == nil || r.bad {
+	if m = t.Get(uint32(r.Uint())); m == nil || r.Bad {
 		return fmt.Errorf("record %q of no message", kind)
 	}
 	switch kind {
 	case recNotRun:
 		delete(pending, m.Num)
 	case recNotes:
-		m.Notes = []byte(r.text())
-		if r.bad {
+		m.Notes = []byte(string(r.Text()))
+		if r.Bad {
 			return fmt.Errorf("notes cut short")
 		}
 	case recOwed:
-		n := r.notice()
-		if r.bad {
+		n := r.Notice()
+		if r.Bad {
 			return fmt.Errorf("notice cut short")
 		}
 		t.Owe(m, n)
