Set the real relay up for tests in one place

Seen: client and plug-in tests built the relay by the same TestMain, written twice. Change: standin.Main does it; assertions are as they were.

--- a/client/relay_test.go
+++ b/client/relay_test.go
@@ -21,19 +21,7 @@
 // bin is the real relay, built once.
 var bin string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "relay")
-	if err == nil {
-		bin, err = standin.Build(dir)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(standin.Main(m, &bin)) }
 
 // startWorld starts what lies round the relays. At the test's end neither it nor a client has left a goroutine behind.
 func startWorld(t testing.TB, set standin.Config) *standin.World {
--- a/internal/plugin/loopback_test.go
+++ b/internal/plugin/loopback_test.go
@@ -21,19 +21,7 @@
 // bin is the real relay, built once.
 var bin string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "relay")
-	if err == nil {
-		bin, err = standin.Build(dir)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(standin.Main(m, &bin)) }
 
 var effects = map[string]client.Effect{"price-alert": client.Safe, "order-relay": client.Keyed, "fee-charge": client.Unsafe}
 
