Let the emulator's front notice a dead relay

A call's start was kept and never read either. Change: front() passes a dead relay over once its time is up; sites set front_notice_s; Unreached counts hand-ins that found one.

--- a/internal/lab/emu/dest.go
+++ b/internal/lab/emu/dest.go
@@ -216,7 +216,7 @@
 		took += e.paused - w.now
 	}
 	life := e.lives
-	c.started, c.work = w.now, work
+	c.work = work
 	w.after(took, func() { w.served(c, life) })
 }
 
--- a/internal/lab/emu/emu_test.go
+++ b/internal/lab/emu/emu_test.go
@@ -198,3 +198,20 @@
 	}
 	b.ReportMetric(d.Length.Seconds()*float64(b.N)/b.Elapsed().Seconds(), "x-real-time")
 }
+
+// A dead relay is dealt messages until the front notices, and none after.
+func TestFrontNotices(t *testing.T) {
+	d := day(t, "lost-relay", 2)
+	unreached := map[time.Duration]int{}
+	for _, notice := range []time.Duration{0, 3 * time.Second, time.Hour} {
+		d.FrontNotice = notice
+		res := play(t, d, emu.Options{})
+		if unreached[notice] = res.Unreached; !res.Good() {
+			t.Error(res.Breaks, res.Faults)
+		}
+	}
+	// What was on its way as the relay died finds it dead also where that is noticed at once.
+	if at := unreached; at[0] > 2 || at[3*time.Second] < 20 || at[time.Hour] <= at[3*time.Second] {
+		t.Errorf("hand-ins that found a dead relay, by the time that the front took: %v", unreached)
+	}
+}
--- a/internal/lab/emu/relay.go
+++ b/internal/lab/emu/relay.go
@@ -24,6 +24,7 @@
 	w       *world
 	no      int
 	life    int
+	diedAt  time.Duration
 	mod     Module // nil: it is down
 	inbox   []policy.Event
 	due     bool // a step is on its way
@@ -76,7 +77,6 @@
 	life     int // of the endpoint as the connection was made
 	closed   bool
 	answered bool
-	started  time.Duration
 	work     float64
 }
 
@@ -112,7 +112,7 @@
 	}
 	w := r.w
 	w.log(rules.Event{Kind: rules.Died, Relay: r.no})
-	r.mod = nil
+	r.mod, r.diedAt = nil, w.now
 	for id := uint32(0); len(r.held) > 0 && id <= w.lastID; id++ { // in order of their numbers, for the same result each time
 		m := r.held[id]
 		if m == nil {
--- a/internal/lab/emu/result.go
+++ b/internal/lab/emu/result.go
@@ -19,6 +19,7 @@
 	Delivered, InAim               int
 	GivenUp, HandedBack, Lost      int // requests that ended undelivered: failed, refused for good, never answered
 	HandIns, Refusals, TurnedAway  int
+	Unreached                      int // hand-ins that found a dead relay
 	Calls, RefusedCalls            int
 	Connections                    int
 	Steps, Notes, Events           int
--- a/internal/lab/emu/world.go
+++ b/internal/lab/emu/world.go
@@ -232,6 +232,18 @@
 	return w.dests[w.cumOf[min(i, len(w.cumOf)-1)]]
 }
 
+// front deals messages to the relays that it takes for live: a dead one for as long as it has not noticed, and any while all are down.
+func (w *world) front() *relay {
+	n := w.clients.IntN(len(w.relays))
+	for i := range w.relays {
+		r := w.relays[(n+i)%len(w.relays)]
+		if r.mod != nil || w.now-r.diedAt < w.day.FrontNotice {
+			return r
+		}
+	}
+	return w.relays[n]
+}
+
 // request makes a message for d and hands it in.
 func (w *world) request(d *dest) {
 	x, no := w.arrivals.Float64(), 0
@@ -258,9 +270,10 @@
 		w.end(q, endRefused)
 		return
 	}
-	r := w.relays[w.clients.IntN(len(w.relays))]
+	r := w.front()
 	w.after(w.way(w.day.Client), func() {
 		if r.mod == nil { // the front has not noticed, or all are down
+			w.res.Unreached++
 			w.after(part(w.day.Again, 0.8+0.4*w.clients.Float64()), func() { w.handIn(q) })
 			return
 		}
--- a/internal/lab/site/draw.go
+++ b/internal/lab/site/draw.go
@@ -79,7 +79,7 @@
 		RTT: ms(d.draw("network.rtt_ms", net.RttMs, 30)), Client: ms(d.draw("network.client_ms", net.ClientMs, 1)), Jitter: d.draw("network.jitter", net.Jitter, 0.2),
 		Handshake: d.draw("network.handshake_rtts", net.HandshakeRtts, 2), Idle: secs(d.draw("network.idle_s", net.IdleS, 15)), Connect: secs(d.draw("network.connect_s", net.ConnectS, 1.5)),
 		Retries: int(d.draw("clients.retries", cl.Retries, 2)), Backoff: secs(d.draw("clients.backoff_s", cl.BackoffS, 0.5)), Honour: d.draw("clients.honour", cl.Honour, 0.7),
-		MaxAdvice: secs(d.draw("clients.max_advice_s", cl.MaxAdviceS, 3)), Again: secs(d.draw("clients.again_s", cl.AgainS, 1)),
+		MaxAdvice: secs(d.draw("clients.max_advice_s", cl.MaxAdviceS, 3)), Again: secs(d.draw("clients.again_s", cl.AgainS, 1)), FrontNotice: secs(d.draw("clients.front_notice_s", cl.FrontNoticeS, 3)),
 		Notice: secs(d.draw("discovery.notice_s", disc.NoticeS, 2)), Spread: secs(d.draw("discovery.spread_s", disc.SpreadS, 0.3)),
 		AnswerSlack: ms(or(rules.AnswerSlackMs, 20)), DrainGrace: secs(or(rules.DrainGraceS, 1)), FallMultiple: or(rules.FallMultiple, 2), FallFor: secs(or(rules.FallS, 3)),
 		ColdFrom: or(rules.ColdFrom, 0.2), Cold: secs(or(rules.ColdS, 11)), Prices: Prices,
