--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -39,6 +39,8 @@
 	log         *slog.Logger
 	dialTimeout time.Duration
 	start       time.Time
+	seed        int64 // of this relay's own draws
+	generation  int64 // of the pool config; -1: none
 	events      chan any
 	notices     chan owed
 	unsent      []owed // notices that did not fit the channel yet
@@ -94,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{set: c.Settings, relay: relay, table: c.Table, journal: c.Journal, log: c.Log, plugins: c.Plugins,
+	h := &Host{set: c.Settings, relay: relay, table: c.Table, journal: c.Journal, log: c.Log, plugins: c.Plugins, seed: c.Seed,
 		reports: c.Reports, dialTimeout: c.ConnectTimeout, idleMost: c.IdleMost, start: time.Now(), events: make(chan any, eventRoom),
 		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{},
 		calls: map[*call]struct{}{}, kindOf: map[string]policy.Kind{}, kinds: map[int]string{}}
@@ -137,7 +139,7 @@
 	}
 	h.agent.Store(&discovery)
 	h.watching, h.unwatch = context.WithCancel(context.Background())
-	go watch(h.watching, discovery, h.events, h.log)
+	go watch(h.watching, watching{addr: discovery, have: h.generation, fleet: h.set.Senders, asked: h.set.AskForList, seed: h.seed}, h.events, h.log)
 }
 
 // Reload puts a new configuration in force, which was checked: settings and limits at once, and discovery's new
@@ -286,9 +288,9 @@
 		}
 		kind := policy.ListChanges
 		if e.Whole {
-			kind, h.listed = policy.ListWhole, true
+			kind = policy.ListWhole
 		}
-		h.firstBy = 0
+		h.listed, h.firstBy = true, 0
 		h.poolNews(e.PoolConfig, kind)
 	case noticed:
 		for _, num := range e.nums {
@@ -694,6 +696,9 @@
 func (h *Host) poolNews(pc memory.PoolConfig, kind policy.ListKind) {
 	news := policy.ListNews{Kind: kind}
 	named := map[string]bool{}
+	if h.generation = pc.Generation; pc.Generation == 0 && len(pc.Members) == 0 {
+		h.generation = -1
+	}
 	for _, mb := range pc.Members {
 		named[mb.Address] = true
 		news.Entries = append(news.Entries, mb.Endpoint)
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -399,7 +399,7 @@
 	}))
 	defer agent.Close()
 	addr, events := agent.Listener.Addr().String(), make(chan any)
-	go watch(context.Background(), addr, events, quiet)
+	go watch(context.Background(), watching{addr: addr, have: -1, fleet: 1}, events, quiet)
 	first, second := (<-events).(poolNews), (<-events).(poolNews)
 	if !first.Whole || first.Generation != 41 || second.Whole || second.Members[0].State != policy.Draining {
 		t.Errorf("news %+v, then %+v", first, second)
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -7,34 +7,70 @@
 	"time"
 
 	"oatfold/internal/memory"
+	"oatfold/internal/spread"
 )
 
 // What discovery has to tell counts as told after 6 s even if it did not arrive: a watch that hangs unseen must
 // be given up, and asked anew, well before that.
 const (
-	watchHold    = 3 * time.Second        // how long a watch may wait for news
-	watchSlack   = time.Second            // and how much longer we wait for its answer
+	watchHold  = 3 * time.Second // how long a watch may wait for news
+	watchSlack = time.Second     // and how much longer we wait for its answer
+
 	watchBackoff = 100 * time.Millisecond // after a failure; under the 200 ms that keep a watch going
+	watchMost    = 2 * time.Second        // and after many
+	watchShare   = 25 * time.Millisecond  // of that for each relay of the fleet
+	askShare     = 100 * time.Millisecond // of discovery's time for each relay, where lists are asked for and not pushed
+	askMost      = 9 * time.Second        // before the first question: who has not asked for 10 s counts as told
 )
 
+// watching says how a watch goes about its questions.
+type watching struct {
+	addr   string
+	have   int64 // generation of the list that the relay was given, -1: none
+	fleet  int   // relays that share discovery
+	asked  bool  // lists come only to those that ask, and discovery serves so many a second
+	seed   int64 // of this relay's own draws
+	pauses *spread.Backoff
+}
+
+// first is when the first question goes out. Risk: all relays of a release start at once, discovery serves some ten of their questions
+// a second, turns the others away, and what it turns away uses up its time as well: most relays then never hear of a change.
+// So each takes a moment of its own in the time that discovery needs for all of them; a fleet that it pushes to need not.
+func (w *watching) first() time.Duration {
+	fleet, least := time.Duration(min(max(1, w.fleet), 1000)), watchBackoff
+	most := min(max(watchBackoff, fleet*watchShare), watchMost)
+	var first time.Duration
+	if w.asked && fleet > 1 {
+		least = min(max(watchBackoff, fleet*askShare), askMost)
+		most = 2 * askMost
+		first = spread.Within(least, w.seed)
+	}
+	w.pauses = spread.NewBackoff(least, most, w.seed)
+	return first
+}
+
 // poolNews is an answer of discovery to one watch.
 type poolNews struct {
 	memory.PoolConfig
 	watch context.Context
 }
 
-// watch keeps the pool config up to date until ctx ends: the whole list first, then changes. A silent
-// or failing discovery changes nothing but the log.
-func watch(ctx context.Context, addr string, events chan<- any, log *slog.Logger) {
-	p := &peer{addr: addr}
+// watch keeps the pool config up to date until ctx ends: the whole list first, or what has changed in the one that the relay was
+// given, then changes. A silent or failing discovery changes nothing but the log.
+func watch(ctx context.Context, w watching, events chan<- any, log *slog.Logger) {
+	p := &peer{addr: w.addr}
 	defer p.close()
-	have, failing := int64(-1), false
+	have, failing, told := int64(-1), false, false
+	rest(ctx, w.first())
+	if w.asked {
+		have = w.have // one question in place of two
+	}
 	for ctx.Err() == nil {
 		path := "/v1/endpoints"
 		if have >= 0 {
 			path = fmt.Sprintf("/v1/endpoints?from=%d&hold_ms=%d", have, watchHold.Milliseconds())
 		}
-		a, err := p.ask(ctx, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr), watchHold+watchSlack)
+		a, err := p.ask(ctx, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, w.addr), watchHold+watchSlack)
 		var pc memory.PoolConfig
 		if err == nil && a.status != 200 {
 			err = fmt.Errorf("status %d", a.status)
@@ -45,23 +81,36 @@
 		if ctx.Err() != nil {
 			return
 		}
+		log.Debug("asked discovery", "path", path, "generation", pc.Generation, "entries", len(pc.Members), "err", err)
 		if err != nil {
 			if !failing {
-				log.Warn("discovery fails, the pool config stays as it is", "address", addr, "err", err)
+				log.Warn("discovery fails, the pool config stays as it is", "address", w.addr, "err", err)
 			}
 			failing = true
-			time.Sleep(watchBackoff)
+			rest(ctx, w.pauses.Failed())
 			continue
 		}
 		if failing {
 			log.Info("discovery answers again", "generation", pc.Generation)
 		}
 		failing = false
+		w.pauses.Worked()
 		if have < 0 {
 			pc.Whole = true
 		}
-		if have = pc.Generation; pc.Whole || len(pc.Members) > 0 {
+		if have = pc.Generation; !told || pc.Whole || len(pc.Members) > 0 {
+			told = true
 			events <- poolNews{pc, ctx}
 		}
 	}
 }
+
+// rest waits for d, or until ctx ends.
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/wire/watch_test.go
@@ -0,0 +1,79 @@
+package wire
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// overbooked is a discovery that serves so many questions a second; what it turns away uses its time up as well.
+type overbooked struct {
+	rate, room, tokens float64
+	at                 time.Duration
+}
+
+func (o *overbooked) serves(now time.Duration) bool {
+	o.tokens, o.at = min(o.room, o.tokens+o.rate*(now-o.at).Seconds()), now
+	ok := o.tokens >= 1
+	o.tokens = max(0, o.tokens-1)
+	return ok
+}
+
+// asks plays the first questions of a fleet whose relays all start at once, and returns how many were served by the given time.
+func asks(fleet int, by time.Duration, asked bool) (served, turnedAway int) {
+	type relay struct {
+		w    watching
+		next time.Duration
+	}
+	var all []*relay
+	for n := range fleet {
+		r := &relay{w: watching{fleet: fleet, asked: asked, seed: int64(n)*7919 + 1}}
+		r.next = r.w.first()
+		all = append(all, r)
+	}
+	d := &overbooked{rate: 10, room: 10, tokens: 10}
+	for len(all) > 0 {
+		slices.SortFunc(all, func(a, b *relay) int { return int(a.next - b.next) })
+		r := all[0]
+		if r.next > by {
+			break
+		}
+		if d.serves(r.next) {
+			served, all = served+1, all[1:]
+		} else {
+			turnedAway++
+			r.next += r.w.pauses.Failed()
+		}
+	}
+	return served, turnedAway
+}
+
+// A fleet that starts at once hears of the list within the time that discovery needs for it, whatever its size; without turns the questions
+// that are turned away would keep it shut.
+func TestListQuestionsTakeTurns(t *testing.T) {
+	for _, fleet := range []int{1, 3, 80, 200} {
+		by := time.Duration(fleet)*askShare*5/2 + time.Second
+		if served, away := asks(fleet, by, true); served < fleet*95/100 || away > 2*fleet {
+			t.Errorf("%d relays: %d served within %v, %d turned away", fleet, served, by, away)
+		}
+	}
+	if served, _ := asks(80, 20*time.Second, false); served > 40 {
+		t.Errorf("without turns %d of 80 are served: the model shows no trouble", served)
+	}
+}
+
+// A fleet told nothing of its size, or something senseless, asks all the same, and a fleet that is pushed to asks at once.
+func TestFirstQuestion(t *testing.T) {
+	for _, fleet := range []int{-1, 0, 1} {
+		w := watching{fleet: fleet, asked: true}
+		if d := w.first(); d != 0 {
+			t.Errorf("fleet of %d: %v", fleet, d)
+		}
+	}
+	if w := (watching{fleet: 80}); w.first() != 0 {
+		t.Error("a pushed list waits")
+	}
+	if w := (watching{fleet: 1 << 40, asked: true}); w.first() > askMost || w.pauses.Failed() > 3*askMost {
+		t.Error("a huge fleet waits longer than any relay may")
+	}
+}
