--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -83,6 +83,16 @@
 // the endpoint's health.
 var errCutOff = errors.New("connection cut before the last byte")
 
+// errTableFull ends a call whose endpoint holds as many connections as it can.
+var errTableFull = errors.New("endpoint takes no further connection")
+
+// tableFull tells whether an answer, the first on its connection, says that the endpoint takes no more of them: it turns the call away,
+// tells no wait and closes. Risk: taken for a refusal above the limit, it lengthens the slot, while the relays that hold idle
+// connections keep the endpoint to themselves.
+func tableFull(a *answer) bool {
+	return a.status == 503 && !a.keep && a.get("Wait-Ms") == "" && a.get("Slots-Taken") == ""
+}
+
 // gate is what the connections of a destination share: until when it must not be sent to.
 type gate struct{ until atomic.Int64 }
 
@@ -176,7 +186,7 @@
 	r           *bufio.Reader
 	usedAt      time.Time               // owned by the host
 	place       *index.Node[*routeConn] // among idle ones, owned by the host
-	answered    time.Time               // when the last answer was read
+	answered    time.Time               // when its last answer was read; zero: it has had none
 	dialTimeout time.Duration
 	plugins     *plugin.Holder
 	buf         []byte
@@ -200,7 +210,7 @@
 func (c *routeConn) drop() {
 	if c.sock != nil {
 		c.sock.Close()
-		c.sock = nil
+		c.sock, c.answered = nil, time.Time{}
 	}
 }
 
@@ -293,7 +303,7 @@
 	if a != nil {
 		stage = Answered
 	}
-	single := cl.going() == 1
+	single, first := cl.going() == 1, c.answered.IsZero()
 	if err != nil {
 		if fail(err); a != nil && a.status == 200 && single {
 			// Guards against failing, or sending again, what a first line with 200 has delivered.
@@ -315,6 +325,9 @@
 	// Guards against taking what an endpoint wrote past its answer for the answer to the next call.
 	res.keep = rest == nil && a.keep && c.r.Buffered() == 0
 	res.ends, c.answered = cl.heldBack(ends(cl, a)), time.Now()
+	if first && tableFull(a) && rest == nil {
+		res.ends, res.err = cl.heldBack(alike(cl, end{outcome: policy.ConnectFailed})), errTableFull
+	}
 	if plugins != nil && rest == nil && plugins.Asks(abi.ReadAnswer) {
 		if w := cl.read(plugins, a, res.ends, res.wait); w > res.wait {
 			res.wait = w
--- a/internal/wire/route_test.go
+++ b/internal/wire/route_test.go
@@ -182,6 +182,46 @@
 	})
 }
 
+// An endpoint that holds as many connections as it can says so in its first answer on a new one, and closes. That tells nothing of its limit: it is
+// a connection that could not be had. One that was used before, a told wait, or an answer that keeps the connection is a refusal.
+func TestConnectionTableFull(t *testing.T) {
+	full := rep("503 X\r\nConnection: close", "")
+	for name, c := range map[string]struct {
+		before, answer string
+		want           policy.Outcome
+	}{
+		"full":           {"", full, policy.ConnectFailed},
+		"in use before":  {rep("200 OK", ""), full, policy.Rejected},
+		"tells a wait":   {"", rep("503 X\r\nWait-Ms: 9\r\nConnection: close", ""), policy.Rejected},
+		"keeps it":       {"", rep("503 X", ""), policy.Rejected},
+		"a limit":        {"", rep("429 X\r\nConnection: close", ""), policy.Rejected},
+		"no slot":        {"", rep("503 X\r\nSlots-Taken: 1\r\nConnection: close", ""), policy.Unsent},
+		"spoilt":         {"", "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 3000000000\r\n\r\n", policy.Errored},
+		"dialled anew":   {"drop", full, policy.ConnectFailed},
+		"an interim one": {"", "HTTP/1.1 102 X\r\n\r\n" + full, policy.ConnectFailed},
+	} {
+		ln := listen(t)
+		scripts, seen, bodies := make(chan script, 1), make(chan *head, 9), make(chan []byte, 9)
+		go partner(ln, scripts, seen, bodies)
+		ep := &endpoint{addr: ln.Addr().String(), gate: &gate{}}
+		rc := &routeConn{ep: ep, dialTimeout: time.Minute}
+		carry := func(answer string) callEnded {
+			scripts <- script{write: answer}
+			return rc.carry(&call{ep: ep, items: []item{{id: "a"}}, deadline: time.Now().Add(time.Minute)})
+		}
+		if c.before == "drop" {
+			carry(rep("200 OK", ""))
+			rc.drop()
+		} else if c.before != "" {
+			carry(c.before)
+		}
+		if res := carry(c.answer); res.ends[0].outcome != c.want {
+			t.Errorf("%s: outcome %v, %v", name, res.ends[0].outcome, res.err)
+		}
+		rc.drop()
+	}
+}
+
 // What never ran is told apart from what may have run by how far the attempt came.
 func TestStepErrorOutcomes(t *testing.T) {
 	for _, c := range []struct {
