--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"oatfold/internal/memory"
+	"oatfold/internal/peers"
 	"oatfold/policy"
 )
 
@@ -24,6 +26,9 @@
 	ConnectTimeout                 time.Duration
 	Known                          memory.PoolConfig
 	Settings                       policy.Settings
+	PeerListen                     string   // where notes of other relays come in
+	Peers                          []string // their addresses by number, this one's included; none: no notes
+	Me                             int      // this one's number
 }
 
 // Defaults of what the configuration may leave out.
@@ -117,6 +122,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	c.Reports = len(columns) > 0
+	if err := c.peers(doc); err != nil {
+		return nil, err
+	}
 	if err := checkSettings(doc.Get("settings")); err != nil {
 		return nil, err
 	}
@@ -128,6 +136,33 @@
 	return c, nil
 }
 
+// peers reads who the other relays are. Where notes are not allowed, few relays share the destinations, or this one's number does not lie
+// among them, there are none: a relay serves without.
+func (c *Config) peers(doc gjson.Result) error {
+	list, me := doc.Get("peers"), doc.Get("settings.me")
+	if !list.Exists() || !doc.Get("settings.policyLimits.peers").Bool() {
+		return nil
+	}
+	if !list.IsArray() {
+		return fmt.Errorf("peers: %s is not a list of host:port", list.Raw)
+	}
+	var all []string
+	for i, v := range list.Array() {
+		if _, err := netip.ParseAddrPort(v.Str); err != nil {
+			return fmt.Errorf("peers[%d]: %s is not an address with a port", i, v.Raw)
+		}
+		all = append(all, v.Str)
+	}
+	c.PeerListen = doc.Get("peer_listen").Str
+	if _, err := netip.ParseAddrPort(c.PeerListen); err != nil {
+		return nil // it can't hear
+	}
+	if n := me.Int(); me.Type == gjson.Number && n >= 0 && n < int64(len(all)) && len(all) >= peers.Least {
+		c.Peers, c.Me = all, int(n)
+	}
+	return nil
+}
+
 // checkSettings names the first key of the settings with which no relay could work. The module checks the
 // same in its own terms.
 func checkSettings(set gjson.Result) error {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,6 +129,16 @@
 	set := hostConfig(c)
 	set.Plugins = holder
 	set.Table, set.Journal, set.Log = table, kept, log
+	// Notes between relays are a help: where their socket can't be had, the relay serves without.
+	if len(c.Peers) > 0 {
+		notes, err := wire.ListenNotes(c.PeerListen, c.Peers, log)
+		if err != nil {
+			log.Warn("no notes between relays", "peer_listen", c.PeerListen, "err", err)
+		} else {
+			defer notes.Close()
+			set.Notes, set.Me = notes, c.Me
+		}
+	}
 	host, err := wire.NewHost(set)
 	if err != nil {
 		return err
--- a/internal/lab/emu/day.go
+++ b/internal/lab/emu/day.go
@@ -49,6 +49,8 @@
 	DrainGrace     time.Duration
 	Prices         Prices
 	Troubles       []Trouble
+	Notes          bool    // relays tell one another what they see
+	NoteLoss       float64 // share of these that are lost
 }
 
 // Point is a place of a curve.
@@ -126,6 +128,7 @@
 	NewsOutage  TroubleKind = "news_outage"  // the list's news wait for its end
 	RelayCrash  TroubleKind = "relay_crash"  // relays die and start again after Len
 	RelayStall  TroubleKind = "relay_stall"  // relays do nothing for Len; then their clocks have gone on by as much
+	Lowered     TroubleKind = "lowered"      // the limit is Size of the usual
 	AnswersLost TroubleKind = "answers_lost" // connections break after Size of the calls ran
 )
 
@@ -142,7 +145,7 @@
 }
 
 // Prices are taken off the result, each times its rate; see Result.
-type Prices struct{ Waste, Handshake, LateFail, Refused float64 }
+type Prices struct{ Waste, Handshake, LateFail, Refused, Note float64 }
 
 // Check names the first setting that makes no day.
 func (d *Day) Check() error {
@@ -158,7 +161,7 @@
 		{"slots", float64(d.Slots), 1, 1e6}, {"hold", float64(d.Hold), 1, 1e7}, {"max_attempts", float64(d.MaxAttempts), 1, 1000}, {"rate", d.Rate, 0, 1e7},
 		{"clumps", d.Clumps, 0, 1}, {"rtt", secs(d.RTT), 0, 100}, {"client", secs(d.Client), 0, 100}, {"jitter", d.Jitter, 0, 1}, {"handshake", d.Handshake, 0, 100},
 		{"idle", secs(d.Idle), 0.01, inf}, {"connect", secs(d.Connect), 0.01, 100}, {"retries", float64(d.Retries), 0, 100}, {"backoff", secs(d.Backoff), 0.001, 1000},
-		{"honour", d.Honour, 0, 1}, {"notice", secs(d.Notice), 0, 1000}, {"cold_from", d.ColdFrom, 0, 1}, {"fall_multiple", d.FallMultiple, 0, 1e6},
+		{"note_loss", d.NoteLoss, 0, 1}, {"honour", d.Honour, 0, 1}, {"notice", secs(d.Notice), 0, 1000}, {"cold_from", d.ColdFrom, 0, 1}, {"fall_multiple", d.FallMultiple, 0, 1e6},
 		{"number of classes", float64(len(d.Classes)), 1, 100}, {"number of kinds", float64(len(d.Kinds)), 1, 100}, {"number of dests", float64(len(d.Dests)), 1, 1e6},
 	}
 	for i, c := range d.Classes {
@@ -195,7 +198,7 @@
 		if t.Kind == Pauses {
 			figures = append(figures, figure{at + "every", secs(t.Every), t.Size + 1e-3, 1e4})
 		}
-		if t.Kind == Slow {
+		if t.Kind == Slow || t.Kind == Lowered {
 			figures = append(figures, figure{at + "size", t.Size, 1e-3, 1e3})
 		}
 		for _, n := range t.Dests {
@@ -211,7 +214,7 @@
 			figures = append(figures, figure{at + "relays", float64(n), 0, float64(d.Relays - 1)})
 		}
 		switch t.Kind {
-		case Crash, Vanish, Shut, FastErrors, Pauses, Slow, Drain, AnswersLost:
+		case Crash, Vanish, Shut, FastErrors, Pauses, Slow, Lowered, Drain, AnswersLost:
 			if len(t.Dests) == 0 && len(t.Parts) == 0 && t.Zone == "" {
 				return fmt.Errorf("%sdests: names nothing that %s could hit", at, t.Kind)
 			}
--- a/internal/lab/emu/dest.go
+++ b/internal/lab/emu/dest.go
@@ -31,6 +31,7 @@
 	tokenAt time.Duration
 	window  time.Duration // where the present window of a window limit began
 	count   float64
+	lowered float64       // what is left of the limit
 	coldAt  time.Duration // when it came back; cold until coldEnd
 	coldEnd time.Duration
 	sick    int // troubles that it is in now
@@ -86,7 +87,7 @@
 
 // admits tells whether the limit takes one more call.
 func (d *dest) admits(now time.Duration) bool {
-	rate := d.spec.Limit
+	rate := d.spec.Limit * d.lowered
 	switch d.kind.Limit {
 	case RateLimit:
 		burst := max(1, rate/2)
@@ -120,7 +121,7 @@
 func (d *dest) opens(now time.Duration) time.Duration {
 	switch d.kind.Limit {
 	case RateLimit:
-		return seconds(max(0, 1-d.tokens) / d.spec.Limit)
+		return seconds(max(0, 1-d.tokens) / (d.spec.Limit * d.lowered))
 	case WindowLimit:
 		return d.window + d.kind.Window - now
 	}
--- a/internal/lab/emu/relay.go
+++ b/internal/lab/emu/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oatfold/internal/lab/rules"
+	"oatfold/internal/peers"
 	"oatfold/policy"
 )
 
@@ -34,6 +35,7 @@
 	wake    uint64
 	idle    map[*endpoint][]*conn
 	told    map[int]policy.EndpointState // endpoints that it heard are going
+	pool    *peers.Pool                  // what it tells others and hears of them
 }
 
 // conn is a connection from a relay to an endpoint.
@@ -90,6 +92,10 @@
 	}
 	r.mod, r.held, r.out, r.idle, r.inbox, r.due = mod, map[uint32]*message{}, 0, map[*endpoint][]*conn{}, nil, false
 	r.told = map[int]policy.EndpointState{}
+	r.pool = peers.New(r.no, r.w.fleet(), int64(chance(r.w.day.Seed, "notes", uint64(r.no), uint64(r.life)).Uint64()>>1))
+	if r.w.day.Notes && r.pool.Active() {
+		r.tellAt(r.w.now + r.pool.Next())
+	}
 	var list []policy.Endpoint
 	for _, d := range r.w.dests {
 		for _, e := range d.eps {
@@ -105,6 +111,37 @@
 	return policy.Endpoint{Address: e.address, Destination: e.dest.no, Kind: e.dest.kind.Name, Zone: e.dest.spec.Zone, State: state, Rate: 1}
 }
 
+// tellAt lets a relay tell others what it saw, again and again while it lives.
+func (r *relay) tellAt(at time.Duration) {
+	w, life := r.w, r.life
+	w.at(max(at, w.now), func() {
+		if r.life != life || r.mod == nil {
+			return
+		}
+		if w.now < r.stalled {
+			r.tellAt(r.stalled)
+			return
+		}
+		note, to := r.pool.Tell(w.now)
+		for _, n := range to {
+			other := w.relays[n]
+			if other.mod == nil || w.notes.Float64() < w.day.NoteLoss {
+				continue
+			}
+			w.res.NoteBytes += len(note)
+			w.after(2*time.Millisecond+part(29*time.Millisecond, w.notes.Float64()), func() {
+				if other.mod != nil {
+					other.pool.Heard(w.now, r.no, note)
+				}
+			})
+		}
+		if usual := r.pool.News(w.now); len(usual) > 0 {
+			r.hear(policy.FleetNews{Usual: usual})
+		}
+		r.tellAt(r.pool.Next())
+	})
+}
+
 // die ends a life: what it held comes again to another relay, unless it may have run and may not be repeated.
 func (r *relay) die() {
 	if r.mod == nil {
@@ -318,6 +355,16 @@
 func (w *world) answerNow(c *call, out policy.Outcome, wait time.Duration) {
 	r, e := c.relay, c.ep
 	c.answered = true
+	if r.life == c.rlife && r.mod != nil {
+		switch out {
+		case policy.Delivered, policy.Errored:
+			r.pool.Ended(e.dest.no, peers.Taken)
+		case policy.Rejected:
+			r.pool.Ended(e.dest.no, peers.Refused)
+		default:
+			r.pool.Ended(e.dest.no, peers.Failed)
+		}
+	}
 	if k := c.conn; k != nil && !c.closed && r.life == c.rlife && r.mod != nil && out != policy.Broken && out != policy.ConnectFailed {
 		k.usedAt = w.now
 		r.idle[e] = append(r.idle[e], k)
--- a/internal/lab/emu/result.go
+++ b/internal/lab/emu/result.go
@@ -22,6 +22,7 @@
 	Unreached                      int // hand-ins that found a dead relay
 	Calls, RefusedCalls            int
 	Connections                    int
+	NoteBytes                      int // of notes between relays, as they are delivered
 	Steps, Notes, Events           int
 	Overdue, Doubles, Fallen       int
 	Work, Asked                    float64 // seconds of destinations' work, done and asked for
@@ -132,7 +133,7 @@
 	}
 	n, p := float64(max(1, r.Requests)), w.day.Prices
 	r.G = 0.5*r.Whole + 0.3*r.WorstWindow + 0.2*r.WorstClass - p.Waste*share0(max(0, r.Work-r.Useful), r.Asked) -
-		p.Handshake*float64(r.Connections)/n - p.LateFail*share0(r.lateFail, asked) - p.Refused*float64(r.RefusedCalls)/n
+		p.Handshake*float64(r.Connections)/n - p.LateFail*share0(r.lateFail, asked) - p.Refused*float64(r.RefusedCalls)/n - p.Note*float64(r.NoteBytes)/256/n
 	if lost := r.Broken[rules.Answer]; (lost > 0) != (r.Overdue > 0) && len(r.Faults) == 0 {
 		r.Faults = append(r.Faults, "the two accounts disagree on messages without an answer in time")
 	}
--- a/internal/lab/emu/world.go
+++ b/internal/lab/emu/world.go
@@ -43,6 +43,7 @@
 	arrivals  *rand.Rand
 	clients   *rand.Rand
 	net       *rand.Rand
+	notes     *rand.Rand
 	cum       []float64
 	cumOf     []int
 	burst     float64
@@ -71,7 +72,7 @@
 		return nil, err
 	}
 	w := &world{day: day, set: set, make: set.Make, byAddress: map[string]*endpoint{}, burst: 1,
-		arrivals: chance(day.Seed, "arrivals"), clients: chance(day.Seed, "clients"), net: chance(day.Seed, "net")}
+		arrivals: chance(day.Seed, "arrivals"), clients: chance(day.Seed, "clients"), net: chance(day.Seed, "net"), notes: chance(day.Seed, "notes")}
 	if w.make == nil {
 		w.make = Service
 	}
@@ -104,6 +105,14 @@
 	return w.res, nil
 }
 
+// fleet is how many relays are told of one another.
+func (w *world) fleet() int {
+	if !w.day.Notes {
+		return 0
+	}
+	return w.day.Relays
+}
+
 func (w *world) log(e rules.Event) {
 	e.At = w.now
 	w.check.Event(e)
@@ -133,7 +142,7 @@
 	total := 0.0
 	for i := range w.day.Dests {
 		spec := &w.day.Dests[i]
-		d := &dest{no: i, spec: spec, kind: &w.day.Kinds[spec.Kind], rng: chance(w.day.Seed, "dest", uint64(i)), work: mean, tokens: spec.Limit / 2, failed: map[int]bool{}}
+		d := &dest{no: i, spec: spec, kind: &w.day.Kinds[spec.Kind], rng: chance(w.day.Seed, "dest", uint64(i)), work: mean, tokens: spec.Limit / 2, failed: map[int]bool{}, lowered: 1}
 		d.window = -part(d.kind.Window, d.rng.Float64())
 		for _, e := range spec.Endpoints {
 			w.endpoint(d, e)
@@ -292,6 +301,7 @@
 		w.res.HandIns++
 		effect := rules.Effect(q.class.Effect)
 		w.log(rules.Event{Kind: rules.Taken, Relay: r.no, Msg: m.id, Dest: q.dest.no, Effect: effect, Window: q.class.Window, Until: q.deadline})
+		r.pool.Wanted(q.dest.no)
 		r.hear(policy.Arrived{ID: m.id, Class: q.class.Name, Destination: q.dest.no, Left: q.deadline - w.now})
 		life := r.life
 		w.at(q.deadline+w.day.AnswerSlack+w.day.Tick, func() {
@@ -439,6 +449,11 @@
 	case AnswersLost:
 		begins(func(e *endpoint) { e.lost = t.Size })
 		ends(func(e *endpoint) { e.lost = 0 })
+	case Lowered:
+		for _, d := range dests {
+			w.at(t.At, func() { d.lowered *= t.Size })
+			w.at(end, func() { d.lowered /= t.Size })
+		}
 	case Slow:
 		begins(func(e *endpoint) { e.slow = t.Size })
 		ends(func(e *endpoint) { e.slow = 1 })
--- a/internal/lab/site/draw.go
+++ b/internal/lab/site/draw.go
@@ -54,7 +54,7 @@
 }
 
 // Prices are what the operators take off the result.
-var Prices = emu.Prices{Waste: 0.042, Handshake: 0.04, LateFail: 0.02, Refused: 0.05}
+var Prices = emu.Prices{Waste: 0.042, Handshake: 0.04, LateFail: 0.02, Refused: 0.05, Note: 0.01}
 
 // Draw draws a day of the site.
 func (s *Site) Draw(seed uint64) (*emu.Day, error) {
@@ -82,7 +82,7 @@
 		MaxAdvice: secs(d.draw("clients.max_advice_s", cl.MaxAdviceS, 3)), Again: secs(d.draw("clients.again_s", cl.AgainS, 1)), FrontNotice: secs(d.draw("clients.front_notice_s", cl.FrontNoticeS, 3)),
 		Notice: secs(d.draw("discovery.notice_s", disc.NoticeS, 2)), Spread: secs(d.draw("discovery.spread_s", disc.SpreadS, 0.3)),
 		AnswerSlack: ms(or(rules.AnswerSlackMs, 20)), DrainGrace: secs(or(rules.DrainGraceS, 1)), FallMultiple: or(rules.FallMultiple, 2), FallFor: secs(or(rules.FallS, 3)),
-		ColdFrom: or(rules.ColdFrom, 0.2), Cold: secs(or(rules.ColdS, 11)), Prices: Prices,
+		Notes: s.Notes, NoteLoss: d.draw("note_loss", s.NoteLoss, 0), ColdFrom: or(rules.ColdFrom, 0.2), Cold: secs(or(rules.ColdS, 11)), Prices: Prices,
 	}
 	mean, share := 0.0, 0.0
 	for i, c := range s.Class {
--- /dev/null
+++ b/internal/peers/pace.go
@@ -0,0 +1,83 @@
+package peers
+
+import (
+	"math"
+	"time"
+
+	"oatfold/policy"
+)
+
+// How an allowance follows the fleet's outcomes.
+const (
+	tightShare = 0.1                     // refused share of the fleet's calls that asks for fewer
+	looseShare = 0.06                    // and that allows more
+	leastCalls = 6                       // calls that tell something
+	leastFew   = 2                       // refused ones among them that ask for fewer
+	settle     = 1200 * time.Millisecond // after a cut, until its effect shows
+	deepest    = 0.5                     // of what was allowed, in one cut
+	raise      = 1.2                     // with each look at news that allow more
+	creep      = 1.04                    // the same about where refusals began last time
+	nearEdge   = 0.85                    // of that, from which on it creeps
+	binding    = 0.5                     // of what is allowed has to be called, or it is not what holds the calls back
+	plenty     = 1.5                     // times what is wanted: no bound is needed any more
+	kept       = 12 * time.Second        // after a cut at least: a destination that returns, cold, needs it most
+	retold     = 4                       // notes after which an allowance is told again
+	toldChange = 0.06                    // share by which it has to change to be told sooner
+)
+
+// pace is how many calls a second each relay may make to a destination, as this relay makes it out of what the fleet sees. All relays see
+// much the same and follow the same law; what they tell of their own allowance keeps them together, and gives a relay that starts anew
+// what the others have learned.
+type pace struct {
+	allow float64       // 0: any number
+	edge  float64       // what was allowed as refusals began
+	cutAt time.Duration // the last cut
+	told  float64
+	age   int // notes since then
+}
+
+// follow takes in news, and what the others allow themselves (0: nobody told), and returns what is allowed from now on.
+//
+// Cuts are in proportion to what is refused, and one is given time to show before the next. Raises are quick where nothing was refused
+// yet and slow about the place where it began: where refused calls use up a limit, a little too much takes nearly all of it away.
+func (p *pace) follow(now time.Duration, u policy.Usual, others float64) float64 {
+	calls := u.Taken + u.Refused
+	refused := u.Refused / max(calls, 1e-9)
+	if u.Failed > calls {
+		return p.allow // an outage tells nothing of the limit
+	}
+	// Risk: one relay's cut, by chance, goes round the fleet. Who sees no refusals does not follow.
+	if others > 0 && p.allow == 0 && refused > looseShare {
+		p.allow, p.cutAt = others, now
+	} else if others > 0 && p.allow > 0 {
+		p.allow = math.Sqrt(p.allow * others)
+	}
+	switch {
+	case refused > tightShare && u.Calls >= leastCalls && refused*float64(u.Calls) >= leastFew && now-p.cutAt >= settle:
+		if p.allow == 0 {
+			p.allow = calls
+		}
+		p.edge, p.cutAt = p.allow, now
+		p.allow = min(p.allow, max(calls, p.allow*0.6)) * max(deepest, 1-refused)
+	case refused < looseShare && p.allow > 0 && now-p.cutAt >= settle:
+		if p.allow > plenty*max(calls, u.Wanted) && now-p.cutAt >= kept {
+			p.allow = 0
+		} else if calls < binding*p.allow {
+			break
+		} else if p.allow > nearEdge*p.edge && p.allow < p.edge/nearEdge {
+			p.allow *= creep
+		} else {
+			p.allow *= raise
+		}
+	}
+	return p.allow
+}
+
+// tells decides whether the next note tells the allowance: when it has changed, and now and then for those that did not hear it.
+func (p *pace) tells() bool {
+	if p.age++; p.allow == 0 || p.age < retold && math.Abs(p.allow-p.told) <= toldChange*p.told {
+		return false
+	}
+	p.told, p.age = p.allow, 0
+	return true
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,308 @@
+// Package peers is what relays tell one another of the destinations that they share. Where many relays serve few destinations, each sees a
+// call to one only every few seconds: alone, none can tell in time how much the destination takes. Each tells a few others,
+// drawn anew each time, what it was asked for and how its calls fared; from the few that it hears each makes out what the usual
+// relay does.
+//
+// The package decides what to tell, to whom and when, and what to make of what is heard. It opens no socket, reads no clock and owns no
+// goroutine; a Pool belongs to whoever calls it. It never holds anything back and never asks for anything: a relay that hears nothing
+// goes on as if it were alone.
+package peers
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"oatfold/policy"
+)
+
+// Bounds of the notes.
+const (
+	MaxNote = 256 // bytes; the platform takes none that is longer
+	Least   = 8   // relays; a smaller fleet sees enough by itself, and tells nothing
+
+	turn      = 600 * time.Millisecond // from one note of a relay to its next, in the mean
+	fan       = 10                     // relays that it goes to
+	memory    = 1800 * time.Millisecond
+	longest   = 3 * time.Second // a note about a longer time tells nothing of now
+	most      = 64              // destinations in a note, and heard of one relay
+	version   = 1
+	allowUnit = 100 // parts of a call a second
+
+)
+
+// Count is what became of messages and calls for one destination.
+type Count struct {
+	Wanted  int // messages that came in
+	Taken   int // calls that were taken
+	Refused int // calls that were turned away
+	Failed  int // calls that did not come through, or had no answer
+
+	Allowed float64 // calls a second that the relay allows itself; 0: any
+}
+
+// account is what one relay told, or saw, of a span that ended at at.
+type account struct {
+	from   int
+	at     time.Duration
+	span   time.Duration
+	counts map[int]Count
+}
+
+// Pool gathers what one relay sees and what it hears.
+type Pool struct {
+	me, fleet int
+	rng       *rand.Rand
+	life      uint8 // tells this life's notes from an earlier one's
+	seq       uint16
+	mine      map[int]Count
+	paces     map[int]*pace
+	since     time.Duration // when mine began
+	next      time.Duration
+	all       []account // in order of at
+	last      map[int]mark
+}
+
+// mark is the last note that was heard of a relay.
+type mark struct {
+	life uint8
+	seq  uint16
+	at   time.Duration
+}
+
+// New returns a pool for relay me of a fleet. A fleet that is too small to need it, or of no sensible size, tells and hears nothing.
+func New(me, fleet int, seed int64) *Pool {
+	rng := rand.New(rand.NewPCG(uint64(seed), 0x9ee2))
+	p := &Pool{me: me, fleet: fleet, rng: rng, life: uint8(rng.Uint32()), mine: map[int]Count{}, paces: map[int]*pace{}, last: map[int]mark{}}
+	if me < 0 || me >= fleet || fleet > math.MaxUint16 {
+		p.fleet = 0 // what does not fit together is no fleet
+	}
+	p.next = time.Duration(rng.Int64N(int64(turn)))
+	return p
+}
+
+// Active tells whether the pool tells and hears anything.
+func (p *Pool) Active() bool { return p.fleet >= Least }
+
+// Wanted books a message that came in.
+func (p *Pool) Wanted(dest int) {
+	c := p.mine[dest]
+	c.Wanted++
+	p.mine[dest] = c
+}
+
+// End is how a call ended.
+type End int
+
+// The ends of a call.
+const (
+	Taken   End = iota // whatever became of it then
+	Refused            // turned away
+	Failed             // it did not come through, or had no answer
+)
+
+// Ended books the end of a call.
+func (p *Pool) Ended(dest int, how End) {
+	c := p.mine[dest]
+	switch how {
+	case Taken:
+		c.Taken++
+	case Refused:
+		c.Refused++
+	case Failed:
+		c.Failed++
+	}
+	p.mine[dest] = c
+}
+
+// Next is when the pool wants to tell again.
+func (p *Pool) Next() time.Duration { return p.next }
+
+// Tell returns the note that is due and the numbers of the relays that it goes to; none before Next.
+func (p *Pool) Tell(now time.Duration) (note []byte, to []int) {
+	if !p.Active() || now < p.next {
+		return nil, nil
+	}
+	p.next = now + turn/2 + time.Duration(p.rng.Int64N(int64(turn)))
+	a := account{from: p.me, at: now, span: min(now-p.since, longest), counts: p.mine}
+	p.mine, p.since = map[int]Count{}, now
+	for d, v := range p.paces {
+		if v.tells() {
+			c := a.counts[d]
+			c.Allowed = v.allow
+			a.counts[d] = c
+		}
+	}
+	p.keep(a)
+	if len(a.counts) == 0 && p.quietOf(now) {
+		return nil, nil // nothing to tell that was not told
+	}
+	p.seq++
+	return encode(p.life, p.seq, a), p.draw()
+}
+
+// quietOf tells whether the last notes of this relay told of nothing either.
+func (p *Pool) quietOf(now time.Duration) bool {
+	for _, a := range p.all {
+		if a.from == p.me && a.at > now-memory && a.at < now && len(a.counts) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// draw picks some other relays.
+func (p *Pool) draw() (to []int) {
+	for len(to) < min(fan, p.fleet-1) {
+		if n := p.rng.IntN(p.fleet); n != p.me && !slices.Contains(to, n) {
+			to = append(to, n)
+		}
+	}
+	return to
+}
+
+// Heard takes a note of another relay. One that can't be read, is not newer than the last of its sender, or comes from nobody of the
+// fleet, changes nothing.
+func (p *Pool) Heard(now time.Duration, from int, note []byte) error {
+	if !p.Active() {
+		return errIdle
+	}
+	if from < 0 || from >= p.fleet || from == p.me {
+		return errNobody
+	}
+	life, seq, a, err := decode(note)
+	if err != nil {
+		return err
+	}
+	was, known := p.last[from]
+	// A sender that starts anew counts from one again, under another life.
+	if known && was.life == life && int16(seq-was.seq) <= 0 {
+		return errOld
+	}
+	p.last[from] = mark{life, seq, now}
+	a.from, a.at = from, now
+	p.keep(a)
+	return nil
+}
+
+// Reasons why a note changes nothing.
+var (
+	errIdle   = errors.New("peers: no fleet")
+	errNobody = errors.New("peers: from nobody of the fleet")
+	errOld    = errors.New("peers: not newer than the last")
+	errNote   = errors.New("peers: can't be read")
+)
+
+// keep remembers an account and forgets what is old.
+func (p *Pool) keep(a account) {
+	old := 0
+	for old < len(p.all) && p.all[old].at < a.at-memory {
+		old++
+	}
+	p.all = append(slices.Delete(p.all, 0, old), a)
+}
+
+// News is what the relays heard of see in the mean, in order of destinations, and what each may make of it. It comes once after each Tell; nothing
+// is told while fewer than a few relays are heard of.
+func (p *Pool) News(now time.Duration) (out []policy.Usual) {
+	sum, relays, spans := map[int]Count{}, map[int]bool{}, 0.0
+	allowed, allowing := map[int]float64{}, map[int]float64{}
+	for _, a := range p.all {
+		if a.at < now-memory {
+			continue
+		}
+		relays[a.from] = true
+		spans += a.span.Seconds()
+		for d, c := range a.counts {
+			s := sum[d]
+			sum[d] = Count{Wanted: s.Wanted + c.Wanted, Taken: s.Taken + c.Taken, Refused: s.Refused + c.Refused, Failed: s.Failed + c.Failed}
+			if c.Allowed > 0 && a.from != p.me {
+				allowed[d] += math.Log(c.Allowed)
+				allowing[d]++
+			}
+		}
+	}
+	if len(relays) < Least/2 || spans <= 0 {
+		return nil
+	}
+	for d, c := range sum {
+		others := 0.0
+		if n := allowing[d]; n > 0 {
+			others = math.Exp(allowed[d] / n)
+		}
+		u := policy.Usual{Destination: d, Wanted: float64(c.Wanted) / spans, Taken: float64(c.Taken) / spans,
+			Refused: float64(c.Refused) / spans, Failed: float64(c.Failed) / spans, Calls: c.Taken + c.Refused + c.Failed}
+		if p.paces[d] == nil {
+			p.paces[d] = &pace{}
+		}
+		u.Allowed = p.paces[d].follow(now, u, others)
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b policy.Usual) int { return a.Destination - b.Destination })
+	return out
+}
+
+// encode writes: version, life, number, span in 50 ms, then destinations with their counts.
+func encode(life uint8, seq uint16, a account) []byte {
+	b := []byte{version, life}
+	b = binary.BigEndian.AppendUint16(b, seq)
+	b = append(b, byte(min(255, a.span/(50*time.Millisecond))))
+	var dests []int
+	for d := range a.counts {
+		if d >= 0 {
+			dests = append(dests, d)
+		}
+	}
+	slices.Sort(dests)
+	for _, d := range dests {
+		c := a.counts[d]
+		one := binary.AppendUvarint(nil, uint64(d))
+		rare := []int{c.Failed, int(math.Round(c.Allowed * allowUnit))}
+		for _, n := range []int{c.Wanted, c.Taken, c.Refused<<1 | min(1, rare[0]+rare[1])} {
+			one = binary.AppendUvarint(one, uint64(n))
+		}
+		if rare[0]+rare[1] > 0 {
+			one = binary.AppendUvarint(binary.AppendUvarint(one, uint64(rare[0])), uint64(rare[1]))
+		}
+		if len(b)+len(one) > MaxNote {
+			break // the rest is not told: the note is full
+		}
+		b = append(b, one...)
+	}
+	return b
+}
+
+func decode(b []byte) (life uint8, seq uint16, a account, err error) {
+	if len(b) < 5 || len(b) > MaxNote || b[0] != version {
+		return 0, 0, a, errNote
+	}
+	a.span, a.counts = time.Duration(b[4])*50*time.Millisecond, map[int]Count{}
+	life, seq = b[1], binary.BigEndian.Uint16(b[2:4])
+	if a.span > longest {
+		return 0, 0, a, errNote
+	}
+	for b = b[5:]; len(b) > 0; {
+		var v [6]uint64
+		for i := range v {
+			if i == 4 {
+				if v[3], v[4] = v[3]>>1, v[3]&1; v[4] == 0 {
+					break // nothing rare
+				}
+			}
+			x, n := binary.Uvarint(b)
+			// Guards against a note that lies about more than any relay does: it would drown all others.
+			if n <= 0 || x > math.MaxInt32 || i > 0 && x > 10_000 {
+				return 0, 0, a, errNote
+			}
+			v[i], b = x, b[n:]
+		}
+		if _, twice := a.counts[int(v[0])]; twice || len(a.counts) >= most {
+			return 0, 0, a, errNote
+		}
+		a.counts[int(v[0])] = Count{int(v[1]), int(v[2]), int(v[3]), int(v[4]), float64(v[5]) / allowUnit}
+	}
+	return life, seq, a, nil
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"slices"
@@ -12,6 +13,7 @@
 	"oatfold/internal/index"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
+	"oatfold/internal/peers"
 	"oatfold/internal/plugin"
 	"oatfold/internal/plugin/limits"
 	"oatfold/policy"
@@ -37,6 +39,8 @@
 	table       *memory.Table
 	journal     *journal.Journal
 	log         *slog.Logger
+	pool        *peers.Pool // what this relay tells others and hears of them
+	notes       *Notes      // nil: it tells none
 	dialTimeout time.Duration
 	start       time.Time
 	seed        int64 // of this relay's own draws
@@ -87,6 +91,8 @@
 	Table          *memory.Table
 	Journal        *journal.Journal
 	Plugins        *plugin.Holder // nil: none
+	Notes          *Notes         // nil: this relay tells others nothing
+	Me             int            // its number among them
 	Log            *slog.Logger
 }
 
@@ -101,6 +107,10 @@
 		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{},
 		calls: map[*call]struct{}{}, kindOf: map[string]policy.Kind{}, kinds: map[int]string{}}
 	h.name(c.Settings)
+	h.pool = peers.New(0, 0, c.Seed)
+	if h.notes = c.Notes; h.notes != nil {
+		h.pool = peers.New(c.Me, len(h.notes.peers), c.Seed)
+	}
 	h.lastStep = -c.Settings.Tick
 	h.poolNews(c.Known, policy.ListRestored)
 	h.firstBy = listPatience
@@ -127,6 +137,10 @@
 func (h *Host) Watch(discovery string) {
 	h.follow(discovery)
 	go notify(&h.agent, h.notices, h.events, h.log)
+	if h.notes != nil {
+		go h.notes.hear(h.events)
+		go h.notes.send()
+	}
 }
 
 // follow moves the watch and the notices to that address, unless they are there.
@@ -228,6 +242,7 @@
 		if h.wakeAt > 0 && now >= h.wakeAt {
 			h.wakeAt, h.pending = 0, append(h.pending, policy.Woke{})
 		}
+		h.share(now)
 		if h.due() && now >= h.stepAt() {
 			h.step(now)
 		}
@@ -257,6 +272,9 @@
 	if e := h.expiries.First(); e != nil {
 		at = min(at, e.At())
 	}
+	if h.pool.Active() && !h.quiet {
+		at = min(at, h.pool.Next())
+	}
 	if len(h.unsent) > 0 {
 		at = min(at, h.now()+h.set.Tick)
 	}
@@ -292,6 +310,10 @@
 		}
 		h.listed, h.firstBy = true, 0
 		h.poolNews(e.PoolConfig, kind)
+	case noteHeard:
+		if err := h.pool.Heard(h.now(), e.from, e.note); err != nil {
+			h.log.Debug("note not taken", "from", e.from, "err", err)
+		}
 	case noticed:
 		for _, num := range e.nums {
 			if m := h.table.Get(num); m != nil {
@@ -430,9 +452,42 @@
 
 // --- the module ---
 
+// share tells others what this relay saw, when that is due, and the module what all see.
+func (h *Host) share(now policy.Time) {
+	if !h.pool.Active() || h.quiet || now < h.pool.Next() {
+		return
+	}
+	if note, to := h.pool.Tell(now); len(to) > 0 {
+		h.notes.put(noteOut{note, to})
+	}
+	if usual := h.pool.News(now); len(usual) > 0 {
+		h.pending = append(h.pending, policy.FleetNews{Usual: usual})
+	}
+}
+
+// shared books the end of a call for the notes.
+func (h *Host) shared(e callEnded) {
+	if len(e.ends) == 0 || errors.Is(e.err, errTableFull) {
+		return // that tells of other relays' idle connections only
+	}
+	how := peers.Failed
+	switch e.ends[0].outcome {
+	case policy.Delivered, policy.Errored:
+		how = peers.Taken
+	case policy.Rejected:
+		how = peers.Refused
+	case policy.Unsent:
+		return // it tells nothing of the destination
+	}
+	h.pool.Ended(e.call.ep.dest, how)
+}
+
 func (h *Host) step(now policy.Time) {
 	wall := time.Now()
 	for _, m := range h.arrivals {
+		if m.Steps == 0 {
+			h.pool.Wanted(m.Dest)
+		}
 		h.pending = append(h.pending, arrived(m, wall))
 	}
 	events := h.pending
@@ -606,6 +661,7 @@
 func (h *Host) callEnded(e callEnded) {
 	now := h.now()
 	delete(h.calls, e.call)
+	h.shared(e)
 	if !h.reports {
 		e.report = nil // Guards against figures where the settings have none
 	}
--- /dev/null
+++ b/internal/wire/notes.go
@@ -0,0 +1,95 @@
+package wire
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"oatfold/internal/peers"
+)
+
+// noteRoom is how many notes may wait to go out; more are dropped, as the network may drop them.
+const noteRoom = 64
+
+// noteHeard is a datagram of another relay.
+type noteHeard struct {
+	from int
+	note []byte
+}
+
+// noteOut is a note and the relays that it goes to.
+type noteOut struct {
+	note []byte
+	to   []int
+}
+
+// Notes is the socket between relays. What it carries may be lost, late or senseless; it decides nothing.
+type Notes struct {
+	sock  *net.UDPConn
+	peers []netip.AddrPort
+	out   chan noteOut
+	log   *slog.Logger
+}
+
+// ListenNotes opens the socket at listen. all holds the address of each relay, by number.
+func ListenNotes(listen string, all []string, log *slog.Logger) (*Notes, error) {
+	n := &Notes{out: make(chan noteOut, noteRoom), log: log}
+	for _, a := range all {
+		at, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, err
+		}
+		n.peers = append(n.peers, at)
+	}
+	at, err := net.ResolveUDPAddr("udp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	if n.sock, err = net.ListenUDP("udp4", at); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Close ends both goroutines.
+func (n *Notes) Close() { n.sock.Close(); close(n.out) }
+
+// hear reports what comes in until the socket is closed. Only relays that the configuration names are heard.
+func (n *Notes) hear(events chan<- any) {
+	who := map[netip.AddrPort]int{}
+	for i, at := range n.peers {
+		who[at] = i
+	}
+	buf := make([]byte, 4*peers.MaxNote)
+	for {
+		size, from, err := n.sock.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		i, known := who[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if !known || size > peers.MaxNote {
+			n.log.Debug("note of nobody", "from", from, "bytes", size)
+			continue
+		}
+		events <- noteHeard{i, append([]byte(nil), buf[:size]...)}
+	}
+}
+
+// send writes what the host has put out. It does so on a goroutine of its own: the host never waits for a socket.
+func (n *Notes) send() {
+	for o := range n.out {
+		for _, i := range o.to {
+			if _, err := n.sock.WriteToUDPAddrPort(o.note, n.peers[i]); err != nil {
+				n.log.Debug("note not sent", "to", i, "err", err)
+			}
+		}
+	}
+}
+
+// put hands a note over, or drops it.
+func (n *Notes) put(o noteOut) {
+	select {
+	case n.out <- o:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/wire/notes_test.go
@@ -0,0 +1,68 @@
+package wire
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"oatfold/internal/peers"
+)
+
+// Notes reach the relays that they are for, and only those that the configuration names are heard: not a stranger, not 257 bytes. Losing the socket
+// ends nothing.
+func TestNotes(t *testing.T) {
+	free := func() string {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	all := []string{free(), free(), free()}
+	var socks []*Notes
+	var heard []chan any
+	for _, at := range all {
+		n, err := ListenNotes(at, all, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.Close()
+		events := make(chan any, 16)
+		go n.hear(events)
+		go n.send()
+		socks, heard = append(socks, n), append(heard, events)
+	}
+	stranger, err := net.Dial("udp4", all[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write([]byte("stranger"))
+	socks[2].put(noteOut{make([]byte, peers.MaxNote+1), []int{1}})
+	socks[0].put(noteOut{[]byte("hello"), []int{1, 2}})
+	for _, events := range heard[1:] {
+		select {
+		case e := <-events:
+			if n, ok := e.(noteHeard); !ok || n.from != 0 || string(n.note) != "hello" {
+				t.Errorf("heard %+v", e)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("nothing heard")
+		}
+	}
+	if len(heard[0]) > 0 {
+		t.Error("told itself")
+	}
+	for range 2 * noteRoom { // never blocks, however many
+		socks[1].put(noteOut{[]byte("x"), nil})
+	}
+	for _, bad := range []string{"", "nowhere", "127.0.0.1:99999"} {
+		if _, err := ListenNotes(bad, all, quiet); err == nil && bad != "" {
+			t.Errorf("listens at %q", bad)
+		}
+		if _, err := ListenNotes(all[0], []string{bad}, quiet); err == nil {
+			t.Errorf("a relay at %q", bad)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -146,6 +146,20 @@
 	Limit float64 // calls a second from all senders; 0 if there is no limit
 }
 
+// FleetNews tells what the relays of the fleet see. It may be late, or never come.
+type FleetNews struct{ Usual []Usual }
+
+// Usual is what a relay of the fleet sees of a destination in the mean, each second.
+type Usual struct {
+	Destination int
+	Wanted      float64 // messages that come in
+	Taken       float64 // calls that the destination takes
+	Refused     float64 // calls that it turns away
+	Failed      float64 // calls that do not come through, or whose answer is lost
+	Calls       int     // calls that the figures come from
+	Allowed     float64 // calls that each relay may make; 0: any
+}
+
 // Withdrawn says that nothing more is owed for a message.
 type Withdrawn struct{ ID uint32 }
 
@@ -179,6 +193,7 @@
 func (Woke) event()      {}
 func (Stopping) event()  {}
 func (ListNews) event()  {}
+func (FleetNews) event() {}
 
 // Action is something that a relay wants done: one of the types below.
 type Action interface{ action() }
--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,94 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// fleetRelay is one of eighty relays, with a destination that has served it at times.
+func fleetRelay(t *testing.T) *Relay {
+	t.Helper()
+	s := Settings{Senders: 80, Slots: 6, MaxHeld: 80, MaxAttempts: 6, Tick: time.Millisecond, ConnIdle: 15 * time.Second, ColdFrom: 0.2,
+		ColdTime: 11 * time.Second, OverloadFactor: 2, OverloadTime: 3 * time.Second, MaxRetryAdvice: 3 * time.Second,
+		Classes: []Class{{Name: "alert", Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Worth: 1}}, Kinds: []Kind{{Name: "k", Batch: 1}}}
+	r, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Step(0, []Event{ListNews{Kind: ListWhole, Entries: []Endpoint{{Address: "a", Destination: 1, Kind: "k"}}}})
+	return r
+}
+
+func sends(acts []Action) (n int) {
+	for _, a := range acts {
+		if _, ok := a.(Send); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func arriving(id uint32) Event {
+	return Arrived{ID: id, Class: "alert", Destination: 1, Left: 6 * time.Second}
+}
+
+func delivered(id uint32) Event {
+	return Ended{ID: id, Endpoint: "a", Outcome: Delivered, Took: 50 * time.Millisecond, Final: true}
+}
+
+// What the fleet allows spaces the calls of a relay that saw no refusal itself; old news do not, and none speeds a relay up.
+func TestNewsSpaceCalls(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		news  []Usual
+		after time.Duration // from the first call on, and from the news
+		want  int           // further calls
+	}{
+		{"no news", nil, 200 * time.Millisecond, 1},
+		{"allowed two a second, at once", []Usual{{Destination: 1, Wanted: 3, Taken: 2, Refused: 1, Calls: 40, Allowed: 2}}, 200 * time.Millisecond, 0},
+		{"allowed two a second, later", []Usual{{Destination: 1, Wanted: 3, Taken: 2, Refused: 1, Calls: 40, Allowed: 2}}, 600 * time.Millisecond, 1},
+		{"any number", []Usual{{Destination: 1, Wanted: 3, Taken: 2, Calls: 40}}, 200 * time.Millisecond, 1},
+		{"of a destination that nobody named", []Usual{{Destination: 9, Allowed: 0.01}}, 200 * time.Millisecond, 1},
+		{"old", []Usual{{Destination: 1, Wanted: 3, Taken: 2, Calls: 40, Allowed: 0.1}}, 4500 * time.Millisecond, 1},
+	} {
+		r := fleetRelay(t)
+		if sends(r.Step(time.Second, []Event{arriving(1)})) != 1 {
+			t.Fatal("no first call")
+		}
+		r.Step(1050*time.Millisecond, []Event{delivered(1), FleetNews{c.news}})
+		if n := sends(r.Step(time.Second+c.after, []Event{arriving(2)})); n != c.want {
+			t.Errorf("%s: %d calls, want %d", c.name, n, c.want)
+		}
+	}
+}
+
+// A relay that saw one failure takes the fleet's word for an outage, and does not while others get through; when others get through again it
+// begins its ramp with a call at a moment of its own.
+func TestNewsOfOutage(t *testing.T) {
+	down := FleetNews{[]Usual{{Destination: 1, Wanted: 1, Failed: 2, Calls: 5}}}
+	some := FleetNews{[]Usual{{Destination: 1, Wanted: 1, Taken: 0.1, Failed: 2, Calls: 5}}}
+	fails := func(news FleetNews) *Relay {
+		r := fleetRelay(t)
+		r.Step(2*time.Second, []Event{arriving(1)})
+		r.Step(2050*time.Millisecond, []Event{Ended{ID: 1, Endpoint: "a", Outcome: ConnectFailed, Took: 50 * time.Millisecond}})
+		r.Step(2100*time.Millisecond, []Event{news})
+		return r
+	}
+	if l := fails(some).dests[1].lines[0]; l.state != healthy {
+		t.Error("out while others get through")
+	}
+	r := fails(down)
+	l := r.dests[1].lines[0]
+	if l.state != out {
+		t.Fatal("does not take the fleet's word")
+	}
+	r.Step(4*time.Second, []Event{some})
+	if l.state != ramping || r.freeAt(l) <= r.now {
+		t.Errorf("state %d, free in %v", l.state, r.freeAt(l)-r.now)
+	}
+	alone := fleetRelay(t)
+	alone.Step(2*time.Second, []Event{down})
+	if alone.dests[1].lines[0].state != healthy {
+		t.Error("out on few calls, without a failure of its own")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 	unspentShare   = 0.75                  // a limit of which so much is left was not what refused a call
 	spentShare     = 0.02                  // a limit of which only so much is left is spent
 	shareWeight    = 0.08                  // weight of the latest call in that share
-	lossWeight     = 0.3                   // weight of the latest call in the share lost on idle connections
+	lossWeight     = 0.3                   // weight of the latest call in the share lost on idle ones
 	downShare      = 0.2                   // failed connections answered soon: fewer tell of outages
 	latencyWeight  = 0.15                  // weight of the latest answer in the usual latency
 	doubtLatencies = 4                     // an answer this many usual latencies late raises doubt
@@ -35,6 +35,10 @@
 	paceSpans      = 4                     // such spans over which the pace of all calls is averaged
 	rateMemory     = 20 * time.Second      // over which a relay averages its own traffic and shortage
 	unusedCost     = 0.01                  // of a call to an endpoint without connections, in calls out
+	coldNews       = 1.3                   // times what the news allow a cold line, as far as it is warm
+	newsLife       = 4 * time.Second       // for how long the fleet's news are good for
+	newsSpan       = 6 * time.Second / 5   // over which they look back: a cut shows after it
+	newsCalls      = 6                     // calls that tell something
 	sweepEvery     = 50 * time.Millisecond // how often a relay that holds messages looks at them
 )
 
@@ -117,6 +121,8 @@
 			r.stopping = true
 		case ListNews:
 			r.listNews(e)
+		case FleetNews:
+			r.fleetNews(e)
 		}
 	}
 	if r.set.AskForList && r.askAt >= 0 && r.now >= r.askAt {
@@ -378,6 +384,34 @@
 
 // --- health and the slot ---
 
+// fleetNews takes what all relays see for each line. Risk: where traffic is thin, a relay learns of a limit
+// that all together keep shut, or of an outage, only when the day is over.
+func (r *Relay) fleetNews(e FleetNews) {
+	for _, u := range e.Usual {
+		d := r.dests[u.Destination]
+		if d == nil || len(d.lines) != 1 || d.kind.SeparateRoutes {
+			continue
+		}
+		l, all := d.lines[0], u.Taken+u.Refused+u.Failed
+		l.usual, l.heardAt = u, r.now
+		switch {
+		case l.state == out && u.Taken > 0:
+			l.run = 0 // others get through: it is back
+			r.stateOf(l)
+			// Risk: all hear of it at once, each with a slot free: first calls are spread over one.
+			l.claimed, l.jitter = r.now-part(r.slot(l), r.rng.Float64()), 1
+		case l.state == healthy && (u.Calls >= newsCalls || l.hardRun > 0 && u.Calls > 1) && u.Taken == 0 &&
+			u.Failed > outageShare*all && r.now-l.lastOK > newsSpan:
+			// Risk: relays that did not see the outage send as if it were warm when it returns.
+			r.enterOut(l)
+			l.run, l.runAt = outageRun, r.now
+		}
+	}
+}
+
+// informed tells whether the fleet's news of the line are fresh.
+func (r *Relay) informed(l *line) bool { return l.heardAt > 0 && r.now-l.heardAt < newsLife }
+
 // share is the calls a second of the line that fall to this relay: an even part, or what comes in here for it
 // if that is more. Risk: with hundreds of senders an even part is less than one call in a client's patience,
 // while most of them have nothing to send; what comes in at all of them adds up to what the line can expect.
@@ -424,12 +458,18 @@
 	}
 	from := max(r.set.ColdFrom, 0.05)
 	warm := min(1, from+(1-from)*float64(t)/float64(max(r.set.ColdTime, 1)))
+	if l.usual.Allowed > 0 {
+		return seconds(1 / (l.usual.Allowed * warm * coldNews)) // not by demand: that may be more
+	}
 	return seconds(1 / (r.share(l) * warm * max(1, coldBoost*r.set.OverloadFactor)))
 }
 
 // slot is the line's slot length now: grown by refusals, longer while it is out, in doubt or cold.
 func (r *Relay) slot(l *line) time.Duration {
 	g := l.gap
+	if l.usual.Allowed > 0 && r.informed(l) {
+		g = max(g, seconds(1/l.usual.Allowed))
+	}
 	switch {
 	case l.state != healthy:
 		g = max(g, r.coldGap(l, 0))
@@ -534,6 +574,10 @@
 	}
 	l.grownAt = r.now
 	fair := r.fairGap(l)
+	if o == Rejected && r.informed(l) && l.state == healthy {
+		l.gap = max(l.gap, min(r.turn, fair)) // the fleet's news tell the rest
+		return
+	}
 	down := o == ConnectFailed && (r.soon[l.dest.kind] < downShare || r.now-c.sentAt >= r.atOnce)
 	if l.gap == 0 && !down {
 		if l.gap = fair; !r.counts(l) {
@@ -625,8 +669,8 @@
 		switch {
 		case l.state != healthy || l.hardRun > 0:
 			return 0
-		case l.gap > 0:
-			sum += 1 / l.gap.Seconds()
+		case r.slot(l) > 0:
+			sum += 1 / r.slot(l).Seconds()
 		case l.slow() || r.doubt(l):
 			sum += float64(r.cap(l)) / max(l.recent, l.latency, r.set.Tick).Seconds()
 		default:
--- a/policy/state.go
+++ b/policy/state.go
@@ -92,6 +92,8 @@
 	told, pressed    bool    // told: by an answer
 	spanAt           Time
 	ownRate          float64 // calls a second that it has served this relay
+	usual            Usual   // what the fleet sees of it
+	heardAt          Time    // when that was heard; 0: never
 }
 
 type destination struct {
