Bound what notes between relays make a relay keep

Seen on reading the change again: Pool.News kept an allowance for each destination that any note named, for good, and told it on; a relay whose notes name ever new destinations would have made all others grow.

At fault: Pool.News in internal/peers/peers.go. At most 256 allowances are kept, and one that nobody tells of is forgotten after 30 s. The new test names 9,600 destinations in 6 s; before, as many allowances stayed.

--- a/internal/peers/pace.go
+++ b/internal/peers/pace.go
@@ -32,6 +32,7 @@
 	allow float64       // 0: any number
 	edge  float64       // what was allowed as refusals began
 	cutAt time.Duration // the last cut
+	seen  time.Duration // when news last told of it
 	told  float64
 	age   int // notes since then
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,7 +31,9 @@
 	longest   = 3 * time.Second // a note about a longer time tells nothing of now
 	most      = 64              // destinations in a note, and heard of one relay
 	version   = 1
-	allowUnit = 100 // parts of a call a second
+	mostPaces = 256              // destinations that allowances are kept for
+	forgotten = 30 * time.Second // after which one that nobody tells of is
+	allowUnit = 100              // parts of a call a second
 
 )
 
@@ -235,12 +238,16 @@
 		}
 		u := policy.Usual{Destination: d, Wanted: float64(c.Wanted) / spans, Taken: float64(c.Taken) / spans,
 			Refused: float64(c.Refused) / spans, Failed: float64(c.Failed) / spans, Calls: c.Taken + c.Refused + c.Failed}
-		if p.paces[d] == nil {
+		// Risk: senseless notes name ever new destinations, and what is made of them is told on.
+		if p.paces[d] == nil && len(p.paces) < mostPaces {
 			p.paces[d] = &pace{}
 		}
-		u.Allowed = p.paces[d].follow(now, u, others)
+		if own := p.paces[d]; own != nil {
+			own.seen, u.Allowed = now, own.follow(now, u, others)
+		}
 		out = append(out, u)
 	}
+	maps.DeleteFunc(p.paces, func(_ int, own *pace) bool { return now-own.seen > forgotten })
 	slices.SortFunc(out, func(a, b policy.Usual) int { return a.Destination - b.Destination })
 	return out
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -216,3 +216,35 @@
 		t.Fatalf("all refused: %v of 4", v)
 	}
 }
+
+// Notes that name ever new destinations fill no memory: what is kept of them is bounded, and forgotten.
+func TestSenselessDestinations(t *testing.T) {
+	all := fleet(80)
+	p, dest := all[0], 0
+	for i := range 60 {
+		now := time.Duration(i+1) * 100 * time.Millisecond
+		for _, o := range all[1:5] {
+			o.mine, o.next = map[int]Count{}, now
+			for range 40 {
+				dest++
+				o.Ended(dest, Refused)
+			}
+			if note, _ := o.Tell(now); p.Heard(now, o.me, note) != nil {
+				t.Fatal("a note is not taken")
+			}
+		}
+		p.News(now)
+	}
+	if n := len(p.paces); n == 0 || n > mostPaces {
+		t.Fatalf("%d allowances kept of %d destinations", n, dest)
+	}
+	now := 10 * time.Minute
+	for _, o := range all[1:5] {
+		o.mine, o.next = map[int]Count{1: {Taken: 1}}, now
+		note, _ := o.Tell(now)
+		p.Heard(now, o.me, note)
+	}
+	if p.News(now); len(p.paces) != 1 {
+		t.Fatalf("%d allowances kept of one destination", len(p.paces))
+	}
+}
