Upgrade a serving relay: baton, a room for each life, and a spool

internal/handover decides (shares of disk and slots, the course of the one that leaves, the form of the news), internal/handover/rooms holds locks and files, internal/wire/handover.go gives and adopts on the owner goroutine, internal/daemon/upgrade.go runs the course. A state folder of an earlier version is the first room as it stands.

--- /dev/null
+++ b/internal/daemon/upgrade.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oatfold/internal/drain"
+	"oatfold/internal/handover"
+	"oatfold/internal/handover/rooms"
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/internal/wire"
+)
+
+const (
+	heirTurn  = 10 * time.Millisecond // between two looks at what the process before gives
+	leaveTurn = 5 * time.Millisecond  // of the one that leaves
+	partMost  = 64 << 10              // bytes of bodies that are taken out of a room at once
+)
+
+// heir takes over what other processes of this relay leave. It waits for disks, on a goroutine that nobody waits for.
+type heir struct {
+	*relay
+	ctx context.Context
+	bad map[string]bool // files of the spool that can't be read: they stay, for a person to look at
+}
+
+// take takes over what is there, and tells whether a process is still leaving.
+func (h *heir) take() (leaving bool) {
+	held, fallen, err := h.folder.Others(h.room)
+	if err != nil {
+		h.log.Error("rooms of other processes not looked at", "err", err)
+	}
+	for _, name := range held {
+		leaving = leaving || h.folder.Said(name) == rooms.Serving
+	}
+	// Guards against a message that is in a room and was given as well: the gift is taken first. All that the process of a fallen room gave is there.
+	h.spool(leaving)
+	for _, r := range fallen {
+		if err := h.inherit(r); err != nil {
+			h.log.Error("a room is not taken over", "room", r.Path, "err", err) // its lock stays with this process
+		}
+	}
+	if !leaving {
+		h.folder.Sweep()
+		h.wait(h.host.Adopt(wire.Passed{Last: true}))
+	}
+	h.host.Share(h.disk(), h.folder.Used(h.room), !leaving)
+	return leaving
+}
+
+// follow goes on until nobody is leaving.
+func (h *heir) follow() {
+	_, idle := sockets(h.c)
+	h.host.Idle(idle / 2)
+	if h.listenNotes(); h.notes != nil {
+		h.host.Tell(h.notes, h.c.Me)
+	}
+	for h.take() {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-time.After(heirTurn):
+		}
+	}
+	clients, idle := sockets(h.c)
+	h.host.Idle(idle)
+	h.front.Load().Configure(&h.c.Settings, clients)
+	h.log.Info("the process before has left, all is taken over")
+}
+
+// wait waits until something taken over is in the journal, or until this process has to leave itself.
+func (h *heir) wait(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
+// spool takes over what was given.
+func (h *heir) spool(leaving bool) {
+	for _, name := range h.folder.Given() {
+		if h.bad[name] || h.ctx.Err() != nil {
+			continue
+		}
+		var msgs []*memory.Message
+		var news *handover.News
+		raw, err := h.folder.Read(name)
+		if err == nil {
+			var text []byte
+			if msgs, text, err = journal.Given(raw); err == nil {
+				news, err = handover.Decode(text)
+			}
+		}
+		if err != nil {
+			h.bad[name] = true
+			h.log.Error("given file not taken over", "file", name, "err", err)
+			continue
+		}
+		if !leaving {
+			news = nil // who gave it is gone, perhaps for long
+		}
+		if h.wait(h.host.Adopt(wire.Passed{Msgs: msgs, News: news})) {
+			if err := h.folder.Done(name); err != nil {
+				h.bad[name] = true
+				h.log.Error("given file is taken over but stays", "file", name, "err", err)
+			}
+		}
+	}
+}
+
+// inherit takes over the room of a process that is gone, part by part.
+func (h *heir) inherit(r *rooms.Room) error {
+	j, table, err := journal.Open(journal.Config{FS: journal.Dir(r.Path), Budget: h.disk() - h.folder.Used(r), Log: h.log, Inline: true})
+	if err != nil {
+		return err
+	}
+	defer j.Close()
+	var all []*memory.Message
+	for _, m := range table.All() {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
+	for len(all) > 0 {
+		n, size := 0, 0
+		var part []*memory.Message
+		for ; n < len(all) && (n == 0 || size+all[n].Size() <= partMost); n++ {
+			m := *all[n] // the other journal has a number of its own for it
+			part, size = append(part, &m), size+m.Size()
+		}
+		if !h.wait(h.host.Adopt(wire.Passed{Msgs: part})) {
+			return h.ctx.Err()
+		}
+		for _, m := range all[:n] {
+			table.Remove(m)
+			table.Forget(m.ID)
+			j.Over(m, true) // so that its room gives way to the next part
+		}
+		if _, err := j.Commit(); err != nil {
+			h.log.Warn("a room's journal takes no records as it is taken over", "room", r.Path, "err", err)
+		}
+		all = all[n:]
+	}
+	if !h.wait(h.host.Adopt(wire.Passed{Overs: table.OverIDs()})) {
+		return h.ctx.Err()
+	}
+	return h.folder.Clear(r)
+}
+
+// handOver leaves the relay to a process that stands by, and tells whether there was one that it could be left to.
+func (r *relay) handOver() bool {
+	held, fallen, err := r.folder.Others(r.room)
+	for _, f := range fallen {
+		r.folder.Leave(f, false)
+	}
+	held = slices.DeleteFunc(held, func(name string) bool { return r.folder.Said(name) != rooms.Ready })
+	if err != nil || len(held) == 0 {
+		return false
+	}
+	began, front := time.Now(), r.front.Load()
+	r.host.Share(r.disk(), r.folder.Used(r.room), false)
+	if r.host.HandOver(r.folder.Give, front.Drained()) != nil {
+		return false
+	}
+	r.log.Info("handing over", "standing_by", held)
+	if r.notes != nil {
+		r.notes.Close()
+		r.notes = nil
+	}
+	if err := r.folder.Pass(); err != nil {
+		r.log.Error("the baton is not given up before this process ends", "err", err)
+	}
+	front.Turn(drain.HandOver)
+	facts := handover.Facts{Accepting: true}
+	for {
+		facts.Since, facts.Clients = time.Since(began), front.Busy()
+		facts.Held, facts.Out, facts.StaysBehind = r.host.Left()
+		facts.Taken = facts.Taken || slices.ContainsFunc(held, func(name string) bool { return r.folder.Said(name) == rooms.Serving })
+		switch handover.Next(facts) {
+		case handover.Exit:
+			r.log.Info("handed over", "left_in_room", facts.Held, "calls_out", facts.Out)
+			return true
+		case handover.LetGo:
+			facts.Accepting = false
+			front.LetGo()
+		}
+		time.Sleep(leaveTurn)
+	}
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -58,9 +58,13 @@
 	}
 }
 
+// Failed tells whether the operators have emptied the relay.
+func (m *Machine) Failed() bool { return m.failed }
+
 // View tells what holds at now.
 func (m *Machine) View(now time.Duration) View {
-	v := View{Ready: m.started && !m.failed && m.ending == 0, Serving: m.started && m.ending == 0, Stopping: m.ending != 0}
+	// While another process serves at the address, it is the one that a yes is for.
+	v := View{Ready: m.started && !m.failed && m.ending != Stop, Serving: m.started && m.ending == 0, Stopping: m.ending == Stop}
 	if m.failed {
 		v.Close, v.Idle = true, now-m.failedAt >= IdleOn
 	}
--- /dev/null
+++ b/internal/handover/rooms/rooms.go
@@ -0,0 +1,304 @@
+// Package rooms is the state folder that processes of one relay share: the baton, a room for each life with its journal, and the spool
+// between them. It does the I/O that package handover knows nothing of, and decides nothing. Locks are flock's: they
+// die with their process, whatever ends it.
+package rooms
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	batonName = "baton"
+	lockName  = "lock"
+	spoolName = "spool"
+	lifePart  = "life-"
+	giveExt   = ".give"
+	tmpExt    = ".tmp"
+	block     = 512 // files count in whole blocks
+)
+
+// The words that a process says in its room.
+const (
+	Ready   = "ready"   // it stands by, and can serve
+	Serving = "serving" // it accepts clients
+)
+
+// Folder is a state folder.
+type Folder struct {
+	dir   string
+	baton *os.File
+	log   *slog.Logger
+	given int
+}
+
+// Room is where one process writes its journal. The zero name is the state folder itself.
+type Room struct {
+	Path, Name string
+	lock       *os.File
+}
+
+// Open opens a state folder, which is there.
+func Open(dir string, log *slog.Logger) (*Folder, error) {
+	f, err := os.OpenFile(filepath.Join(dir, batonName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &Folder{dir: dir, baton: f, log: log}, nil
+}
+
+// lock takes a file's lock, or tells that another process has it. Where the system knows no such locks, nobody else can have it:
+// the relay serves alone.
+func lock(f *os.File, how int) (bool, error) {
+	for {
+		switch err := unix.Flock(int(f.Fd()), how); {
+		case err == nil, errors.Is(err, unix.ENOSYS), errors.Is(err, unix.ENOTSUP), errors.Is(err, unix.EPERM):
+			return true, nil
+		case errors.Is(err, unix.EWOULDBLOCK):
+			return false, nil
+		case !errors.Is(err, unix.EINTR):
+			return false, err
+		}
+	}
+}
+
+// TryBaton takes the baton if nobody has it.
+func (f *Folder) TryBaton() (bool, error) { return lock(f.baton, unix.LOCK_EX|unix.LOCK_NB) }
+
+// WaitBaton waits until the baton is this process's. It holds a thread meanwhile.
+func (f *Folder) WaitBaton() error {
+	_, err := lock(f.baton, unix.LOCK_EX)
+	return err
+}
+
+// Pass gives the baton up.
+func (f *Folder) Pass() error { return unix.Flock(int(f.baton.Fd()), unix.LOCK_UN) }
+
+// Name writes whose journal is in force from now on. The holder of the baton does so before it takes anything over.
+func (f *Folder) Name(r *Room) error {
+	name := r.Name + "\n"
+	if _, err := f.baton.WriteAt([]byte(name), 0); err != nil {
+		return err
+	}
+	return f.baton.Truncate(int64(len(name)))
+}
+
+// named is the room that the last holder of the baton wrote to, "" also if there was none.
+func (f *Folder) named() string {
+	b := make([]byte, 64)
+	n, _ := f.baton.ReadAt(b, 0)
+	return strings.TrimSpace(string(b[:n]))
+}
+
+func (f *Folder) path(name string) string { return filepath.Join(f.dir, name) }
+
+// names lists the rooms that there are, the state folder itself first.
+func (f *Folder) names() []string {
+	all := []string{""}
+	entries, _ := os.ReadDir(f.dir)
+	for _, e := range entries {
+		if _, err := strconv.Atoi(strings.TrimPrefix(e.Name(), lifePart)); e.IsDir() && err == nil && strings.HasPrefix(e.Name(), lifePart) {
+			all = append(all, e.Name())
+		}
+	}
+	return all
+}
+
+// Take takes a room if no process has it; nil if one does, or if it is gone.
+func (f *Folder) Take(name string) (*Room, error) {
+	path := filepath.Join(f.path(name), lockName)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	got, err := lock(file, unix.LOCK_EX|unix.LOCK_NB)
+	if got {
+		// Guards against the lock of a room that its last user has just removed.
+		a, errA := os.Stat(path)
+		b, errB := file.Stat()
+		got = errA == nil && errB == nil && os.SameFile(a, b)
+	}
+	if !got {
+		file.Close()
+		return nil, err
+	}
+	file.Truncate(0)
+	return &Room{Path: f.path(name), Name: name, lock: file}, nil
+}
+
+// Home takes the room that this process writes to. Who holds the baton goes on in the one that was in force; who stands by gets a new one.
+func (f *Folder) Home(active bool) (*Room, error) {
+	if active {
+		for _, name := range []string{f.named(), ""} {
+			if r, err := f.Take(name); r != nil || err != nil {
+				return r, err
+			}
+		}
+	}
+	all := f.names()
+	for n := len(all); ; n++ {
+		name := lifePart + strconv.Itoa(n)
+		if slices.Contains(all, name) {
+			continue
+		}
+		if err := os.Mkdir(f.path(name), 0o700); err != nil && !errors.Is(err, os.ErrExist) {
+			return nil, err
+		}
+		if r, err := f.Take(name); r != nil || err != nil {
+			return r, err
+		}
+	}
+}
+
+// Say leaves a word in the room, for other processes.
+func (r *Room) Say(word string) error {
+	_, err := r.lock.WriteAt([]byte(word+"\n"), 0)
+	if err == nil {
+		err = r.lock.Truncate(int64(len(word) + 1))
+	}
+	return err
+}
+
+// Said is the last word in a room.
+func (f *Folder) Said(name string) string {
+	b, _ := os.ReadFile(filepath.Join(f.path(name), lockName))
+	return strings.TrimSpace(string(b))
+}
+
+// Others lists the rooms beside mine: those that a process has, and those whose lock has fallen, which are taken. The state folder itself counts only if
+// there is a journal in it.
+func (f *Folder) Others(mine *Room) (held []string, fallen []*Room, err error) {
+	for _, name := range f.names() {
+		if name == mine.Name || name == "" && len(f.files("")) == 0 {
+			continue
+		}
+		r, err := f.Take(name)
+		switch {
+		case err != nil:
+			return held, fallen, err
+		case r != nil:
+			fallen = append(fallen, r)
+		default:
+			if _, err := os.Stat(f.path(name)); err == nil {
+				held = append(held, name)
+			}
+		}
+	}
+	return held, fallen, nil
+}
+
+// files lists the files of a room's journal.
+func (f *Folder) files(name string) (all []string) {
+	entries, _ := os.ReadDir(f.path(name))
+	for _, e := range entries {
+		switch filepath.Ext(e.Name()) {
+		case ".seg", ".log", tmpExt:
+			all = append(all, filepath.Join(f.path(name), e.Name()))
+		default:
+			if e.Name() == "reserve" {
+				all = append(all, filepath.Join(f.path(name), e.Name()))
+			}
+		}
+	}
+	return all
+}
+
+// Clear removes a room that is taken: its journal has been taken over.
+func (f *Folder) Clear(r *Room) error {
+	for _, path := range f.files(r.Name) {
+		if err := os.Remove(path); err != nil {
+			return err
+		}
+	}
+	if r.Name == "" {
+		return r.lock.Close()
+	}
+	os.Remove(filepath.Join(r.Path, lockName))
+	if err := os.Remove(r.Path); err != nil {
+		f.log.Warn("a room is taken over but stays", "room", r.Name, "err", err)
+	}
+	return r.lock.Close()
+}
+
+// Leave gives the room's lock up. The room of a process that has never held the baton is empty, and goes.
+func (f *Folder) Leave(r *Room, empty bool) {
+	if empty && r.Name != "" {
+		f.Clear(r)
+		return
+	}
+	r.lock.Close()
+}
+
+// Used is what all files take that are not in mine.
+func (f *Folder) Used(mine *Room) (bytes int64) {
+	for _, name := range append(f.names(), spoolName) {
+		if name == mine.Name {
+			continue
+		}
+		entries, _ := os.ReadDir(f.path(name))
+		for _, e := range entries {
+			if info, err := e.Info(); err == nil && !e.IsDir() {
+				bytes += (info.Size() + block - 1) / block * block
+			}
+		}
+	}
+	return bytes
+}
+
+// --- the spool ---
+
+// Give adds a file to the spool. It is there whole, or not at all.
+func (f *Folder) Give(b []byte) error {
+	dir := f.path(spoolName)
+	if err := os.Mkdir(dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	f.given++
+	name := filepath.Join(dir, fmt.Sprintf("%020d-%d-%06d", time.Now().UnixNano(), os.Getpid(), f.given))
+	if err := os.WriteFile(name+tmpExt, b, 0o600); err != nil {
+		os.Remove(name + tmpExt)
+		return err
+	}
+	return os.Rename(name+tmpExt, name+giveExt)
+}
+
+// Given lists the spool's files, the oldest first.
+func (f *Folder) Given() (names []string) {
+	entries, _ := os.ReadDir(f.path(spoolName)) // sorted by name
+	for _, e := range entries {
+		if filepath.Ext(e.Name()) == giveExt {
+			names = append(names, e.Name())
+		}
+	}
+	return names
+}
+
+// Read returns a file of the spool.
+func (f *Folder) Read(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(f.path(spoolName), name))
+}
+
+// Done removes a file of the spool, whose content is taken over.
+func (f *Folder) Done(name string) error { return os.Remove(filepath.Join(f.path(spoolName), name)) }
+
+// Sweep removes what half a write left in the spool. Nobody else may be giving.
+func (f *Folder) Sweep() {
+	entries, _ := os.ReadDir(f.path(spoolName))
+	for _, e := range entries {
+		if filepath.Ext(e.Name()) == tmpExt {
+			os.Remove(filepath.Join(f.path(spoolName), e.Name()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/memory/journal/given.go
@@ -0,0 +1,75 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"oatfold/internal/memory"
+)
+
+// A file that one process gives to the next is a segment's head and records of the same form: messages as they stand, their plug-ins'
+// notes, and last one record of news, which this package only carries.
+const recNews byte = 'W'
+
+// ErrGiven says that a given file is not whole.
+var ErrGiven = errors.New("journal: given file is not whole")
+
+// Give writes messages as they stand, and news. Their bodies have to be in memory; one that was not kept is, from here on.
+func Give(msgs []*memory.Message, news []byte) []byte {
+	b := appendHead(nil, 0, 0, 0)
+	for _, m := range msgs {
+		kept := *m
+		kept.Unkept = false
+		at := len(b)
+		if b = frame(appendKept(append(begin(b), recKept), &kept), at); len(m.Notes) > 0 {
+			at = len(b)
+			b = frame(appendText(head(begin(b), recNotes, m.Num), m.Notes), at)
+		}
+	}
+	at := len(b)
+	return frame(append(append(begin(b), recNews), news...), at)
+}
+
+// Given reads such a file. Numbers are those of the process that gave.
+func Given(raw []byte) (msgs []*memory.Message, news []byte, err error) {
+	s, whole := newState(), false
+	end := walk(raw, func(_, _ int, payload []byte, bad error) {
+		switch {
+		case bad != nil:
+			err = bad
+		case payload[0] == recNews:
+			news, whole = payload[1:], true
+		default:
+			if e := s.apply(payload); e != nil {
+				err = e
+			} else if payload[0] == recKept {
+				nums(payload, func(n uint32) { msgs = append(msgs, s.table.Get(n)) })
+			}
+		}
+	})
+	if err != nil || !whole || end < len(raw) {
+		return nil, nil, fmt.Errorf("%w: %w", ErrGiven, errors.Join(err, io.ErrUnexpectedEOF))
+	}
+	return msgs, news, nil
+}
+
+// Kept adds a message that another process had taken on, as it stands, and enters it into t. Like an end it is written as soon as the
+// disk takes it: it was promised already.
+func (j *Journal) Kept(t *memory.Table, m *memory.Message) {
+	j.top = max(j.top, m.Num)
+	j.open()
+	j.arena = appendKept(append(j.arena, recKept), m)
+	if j.shut(entry{num: m.Num}); len(m.Notes) > 0 {
+		j.open()
+		j.arena = appendText(head(j.arena, recNotes, m.Num), m.Notes)
+		j.shut(entry{num: m.Num})
+	}
+	t.Add(m)
+}
+
+// Pending tells whether records wait for a disk that takes them.
+func (j *Journal) Pending() bool { return len(j.batch) > 0 }
+
+// Used is what the journal's files take.
+func (j *Journal) Used() int64 { return j.used() }
--- a/internal/memory/table.go
+++ b/internal/memory/table.go
@@ -155,6 +155,16 @@
 	return there
 }
 
+// OverIDs lists the ids that are kept of messages that are over, the oldest first.
+func (t *Table) OverIDs() (ids []string) {
+	for _, id := range append(t.order[t.next:len(t.order):len(t.order)], t.order[:t.next]...) {
+		if t.Over(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Forget drops id from those that are over: it may be taken on anew.
 func (t *Table) Forget(id string) {
 	if _, there := t.over[id]; !there {
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -38,15 +38,16 @@
 
 // Front is the front socket: clients hand in messages here.
 type Front struct {
-	ln      net.Listener
-	events  chan<- any
-	classes atomic.Pointer[map[string]policy.Class]
-	log     *slog.Logger
-	advice  atomic.Int64 // nanoseconds: when refused clients are to come again; 0: none is told
-	plugins *plugin.Holder
-	view    atomic.Pointer[drain.View]
-	figures *figures.Set
-	free    chan struct{} // told when a connection ends or may give way
+	ln       net.Listener
+	events   chan<- any
+	classes  atomic.Pointer[map[string]policy.Class]
+	log      *slog.Logger
+	advice   atomic.Int64 // nanoseconds: when refused clients are to come again; 0: none is told
+	plugins  *plugin.Holder
+	view     atomic.Pointer[drain.View]
+	figures  *figures.Set
+	emptying atomic.Bool   // the accept queue is emptied, then the listener closed
+	free     chan struct{} // told when a connection ends or may give way
 
 	mu       sync.Mutex
 	drain    drain.Machine
@@ -133,6 +134,13 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if f.emptying.Load() {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				f.ln.Close()
+				return
+			}
+			f.ln.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Now().Add(emptyFor))
+		}
 		if err != nil {
 			// Guards against a spin while descriptors are short: the listener keeps what waits.
 			f.log.Warn("accept failed", "err", err)
@@ -162,7 +170,7 @@
 // of them that had their time give way, then the kept connection that has been idle longest.
 func (f *Front) makeRoom() {
 	waits := time.Time{}
-	for !f.view.Load().Shut {
+	for !f.view.Load().Shut && !f.emptying.Load() {
 		f.mu.Lock()
 		now, short := time.Now(), len(f.conns) >= f.most
 		if short {
@@ -254,6 +262,13 @@
 	}
 }
 
+// Drained tells whether the operators have emptied the relay.
+func (f *Front) Drained() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.drain.Failed()
+}
+
 // Serving tells whether the front socket serves, drained or not, and is not about to end.
 func (f *Front) Serving() bool { return f.view.Load().Serving }
 
--- /dev/null
+++ b/internal/wire/handover.go
@@ -0,0 +1,268 @@
+package wire
+
+import (
+	"slices"
+	"time"
+
+	"oatfold/internal/handover"
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/internal/peers"
+	"oatfold/policy"
+)
+
+// Passed is what another process of this relay left or gave: a file of the spool, or a part of a room.
+type Passed struct {
+	Msgs  []*memory.Message
+	Overs []string       // ids of messages that are over
+	News  *handover.News // nil: none
+	Last  bool           // no other process is left
+}
+
+// Adopt takes over what was passed. What it returns is closed once all of it is in the journal.
+func (h *Host) Adopt(p Passed) <-chan struct{} {
+	done := make(chan struct{})
+	h.Do(func(h *Host) {
+		for _, m := range p.Msgs {
+			h.adopt(m)
+		}
+		for _, id := range p.Overs {
+			h.table.MarkOver(id)
+		}
+		if p.News != nil {
+			h.heardNews(p.News)
+		}
+		if p.Last {
+			h.elsewhere = nil
+			h.lend(0)
+		}
+		h.adopted = append(h.adopted, done)
+	})
+	return done
+}
+
+// adopt takes one message over, as it stands. Guards against a process that died between giving a message and booking that it had: the same
+// message then comes twice, and is known by its id.
+func (h *Host) adopt(m *memory.Message) {
+	delete(h.elsewhere, m.ID)
+	if have := h.table.ByID(m.ID); have != nil {
+		if m.Steps <= have.Steps || have.Out != nil || have.Owed != nil {
+			return
+		}
+		// The other account knows more: it takes the place of this one.
+		h.end(have, true)
+		h.table.Forget(m.ID)
+		h.pending = append(h.pending, policy.Withdrawn{ID: have.Num})
+	} else if h.table.Over(m.ID) {
+		return
+	}
+	m.Num, m.Out, m.New = h.table.Next(), nil, false
+	h.journal.Kept(h.table, m)
+	h.resume(m, time.Now())
+}
+
+// heardNews takes over what the process before knows beside messages.
+func (h *Host) heardNews(n *handover.News) {
+	if l := n.List; l != nil && l.Generation > h.generation {
+		pc := memory.PoolConfig{Generation: l.Generation, Whole: true}
+		for _, m := range l.Members {
+			pc.Members = append(pc.Members, memory.Member{Endpoint: m.Endpoint, HostPort: m.HostPort})
+		}
+		h.listed = true
+		h.poolNews(pc, policy.ListWhole)
+	}
+	if len(n.Learned) > 0 {
+		h.learned = n.Learned
+	}
+	for _, id := range n.Known {
+		if h.table.ByID(id) == nil && !h.table.Over(id) {
+			if h.elsewhere == nil {
+				h.elsewhere = map[string]struct{}{}
+			}
+			h.elsewhere[id] = struct{}{}
+		}
+	}
+	h.drained = h.drained || n.Drained
+	h.heldBack(n.Waits)
+	if h.standby {
+		h.waits = append(h.waits, n.Waits...) // the module has yet to hear of them
+	}
+	h.lend(n.Out)
+}
+
+// heldBack heeds waits that the process before was told.
+func (h *Host) heldBack(waits []handover.Wait) {
+	for _, w := range waits {
+		left := min(time.Until(w.Until), maxWaitMs*time.Millisecond)
+		if left <= 0 {
+			continue
+		}
+		g := h.gates[w.Dest]
+		if ep := h.endpoints[w.Endpoint]; ep != nil {
+			g = ep.gate
+		} else if g == nil {
+			g = &gate{}
+			h.gates[w.Dest] = g
+		}
+		g.hold(left)
+		h.relay.Wait(h.now(), w.Endpoint, left)
+	}
+}
+
+// lend leaves slots to the calls that the process before still has out.
+func (h *Host) lend(out int) {
+	if out == h.lent {
+		return
+	}
+	h.lent = out
+	h.reslot()
+}
+
+func (h *Host) reslot() {
+	set := h.set
+	set.Slots = h.slots()
+	if err := h.relay.Reconfigure(set); err != nil {
+		h.log.Error("slots not shared out", "err", err) // the settings were good with all of them
+	}
+	h.pending = append(h.pending, policy.Woke{})
+}
+
+// slots is how many calls this process may have out.
+func (h *Host) slots() int { return handover.Slots(h.set.Slots, h.lent) }
+
+// Activate begins the steps of a host that stood by, and tells whether the relay was drained by its operators.
+func (h *Host) Activate() (drained bool) {
+	h.Do(func(h *Host) {
+		var list []policy.Endpoint
+		for _, ep := range h.endpoints {
+			list = append(list, policy.Endpoint{Address: ep.id, Destination: ep.dest, Kind: h.kinds[ep.dest], Zone: ep.zone,
+				State: policy.EndpointState(ep.state.Load()), Rate: ep.rate})
+		}
+		slices.SortFunc(list, func(a, b policy.Endpoint) int { return strcmp(a.Address, b.Address) })
+		if h.firstBy = 0; !h.listed {
+			h.firstBy = h.now() + listPatience
+		}
+		h.relay.Learn(h.now(), list, h.learned)
+		h.standby, h.quiet, drained = false, false, h.drained
+		h.heldBack(h.waits)
+		h.learned, h.waits = nil, nil
+		h.pending = append(h.pending, policy.Woke{})
+	})
+	return drained
+}
+
+func strcmp(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// HandOver ends the steps and gives what is not out, with what this process knows, to the one that takes its place; from then on
+// also what it still takes on and what its calls leave undone. Where the first cannot be given, all stays as it was.
+func (h *Host) HandOver(give func([]byte) error, drained bool) (err error) {
+	h.Do(func(h *Host) {
+		news := &handover.News{Drained: drained, Learned: h.relay.Learned(h.now()), List: &handover.List{Generation: h.generation}}
+		for _, ep := range h.endpoints {
+			news.List.Members = append(news.List.Members, handover.Member{HostPort: ep.addr, Endpoint: policy.Endpoint{Address: ep.id, Destination: ep.dest,
+				Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate}})
+			if ep.gate.closed() {
+				h.waits = append(h.waits, handover.Wait{Endpoint: ep.id, Dest: ep.dest, Until: time.Unix(0, ep.gate.until.Load())})
+			}
+		}
+		var all []*memory.Message
+		for _, m := range h.table.All() {
+			if all = append(all, m); m.Owed == nil && (m.Out != nil || m.New) {
+				news.Known = append(news.Known, m.ID)
+			}
+		}
+		slices.SortFunc(all, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
+		h.toldOut = -1
+		if err = h.give(give, all, news); err != nil {
+			h.waits = nil
+			return
+		}
+		h.giving, h.quiet, h.arrivals, h.pending = give, true, nil, nil
+		for cl := range h.calls {
+			for i := range cl.items {
+				cl.items[i].ended, cl.items[i].anew = true, true // what they leave undone is given
+			}
+		}
+		for _, ep := range h.endpoints {
+			h.closeIdle(ep)
+		}
+	})
+	return err
+}
+
+// mayGive tells whether m can be given: nothing of it is under way, and its body is at hand.
+func mayGive(m *memory.Message) bool {
+	return m.Out == nil && m.Owed == nil && !m.New && m.Spilled == 0 && (!m.Unkept || m.Body != nil)
+}
+
+// give gives those of msgs that can be, if there is anything to tell.
+func (h *Host) give(to func([]byte) error, msgs []*memory.Message, news *handover.News) error {
+	msgs = slices.DeleteFunc(slices.Clone(msgs), func(m *memory.Message) bool { return h.table.Get(m.Num) != m || !mayGive(m) })
+	if news.Out, news.Waits = len(h.calls), h.waits; len(msgs) == 0 && len(h.waits) == 0 && news.Out == h.toldOut {
+		return nil
+	}
+	if err := to(journal.Give(msgs, news.Encode())); err != nil {
+		h.log.Error("not given to the process that takes over: it stays in the room", "messages", len(msgs), "err", err)
+		return err
+	}
+	h.waits, h.toldOut = nil, news.Out
+	for _, m := range msgs {
+		// Its id is not kept as over: it is not.
+		h.end(m, true)
+		h.table.Forget(m.ID)
+	}
+	return nil
+}
+
+// giveTurn gives what this turn has left.
+func (h *Host) giveTurn() {
+	msgs := h.arrivals
+	h.arrivals = nil
+	h.give(h.giving, msgs, &handover.News{})
+}
+
+// Left counts what a process that leaves still owes something for, its calls out, and the messages that can only be taken over with
+// its room.
+func (h *Host) Left() (held, out, behind int) {
+	h.Do(func(h *Host) {
+		for _, m := range h.table.All() {
+			if m.Owed == nil && m.Out == nil && !m.New {
+				behind++
+			}
+		}
+		held, out = len(h.table.All()), len(h.calls)
+	})
+	return held, out, behind
+}
+
+// Share sets what the journal may take of the disk, of which others take so much: all of the rest, or while another process
+// writes as well, a part of it.
+func (h *Host) Share(all, others int64, alone bool) {
+	h.Do(func(h *Host) {
+		if alone {
+			h.journal.Resize(all - others)
+		} else {
+			h.journal.Resize(handover.Budget(all, h.journal.Used(), others))
+		}
+	})
+}
+
+// Tell has the host tell other relays what it sees, from now on.
+func (h *Host) Tell(notes *Notes, me int) {
+	h.Do(func(h *Host) {
+		h.notes, h.pool = notes, peers.New(me, len(notes.peers), h.seed)
+		go notes.hear(h.events)
+		go notes.send()
+	})
+}
+
+// Idle sets how many connections to endpoints may stand idle.
+func (h *Host) Idle(most int) { h.Do(func(h *Host) { h.idleMost = most }) }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"oatfold/internal/figures"
+	"oatfold/internal/handover"
 	"oatfold/internal/index"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
@@ -72,6 +73,15 @@
 	upkeepAt  policy.Time
 	firstBy   policy.Time            // the first step waits until then for the pool config
 	holdTil   policy.Time            // and the first of a module that starts anew for the end of told waits
+	standby   bool                   // another process of this relay makes the steps
+	giving    func([]byte) error     // another process takes this one's place: what is not out goes there
+	waits     []handover.Wait        // that the other process has yet to hear of, or this one's module
+	toldOut   int                    // calls out as it was told last
+	lent      int                    // slots that calls of the process before still hold
+	learned   []policy.Learned       // of the process before, until the steps begin
+	drained   bool                   // that one was drained
+	elsewhere map[string]struct{}    // ids that it took on and keeps
+	adopted   []chan<- struct{}      // closed once what was taken over is in the journal
 	quiet     bool                   // no further steps: the rest stays in the journal
 	listed    bool                   // discovery has told its whole list in this life
 	reports   bool                   // answers may hold load reports
@@ -97,6 +107,7 @@
 	Notes          *Notes         // nil: this relay tells others nothing
 	Me             int            // its number among them
 	Figures        *figures.Set   // nil: nobody reads them
+	Standby        bool           // no steps until Activate
 	Log            *slog.Logger
 }
 
@@ -118,6 +129,7 @@
 	h.lastStep = -c.Settings.Tick
 	h.poolNews(c.Known, policy.ListRestored)
 	h.firstBy = listPatience
+	h.standby, h.quiet = c.Standby, c.Standby
 	h.restore(false)
 	return h, nil
 }
@@ -168,6 +180,9 @@
 		if err = h.relay.Reconfigure(c.Settings); err != nil {
 			return
 		}
+		if h.lent > 0 {
+			defer h.reslot()
+		}
 		h.set, h.reports, h.dialTimeout, h.idleMost = c.Settings, c.Reports, c.ConnectTimeout, c.IdleMost
 		h.name(c.Settings)
 		h.journal.Resize(c.DiskBytes)
@@ -189,32 +204,37 @@
 	slices.SortFunc(all, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
 	open, wall := 0, time.Now()
 	for _, m := range all {
-		if m.Owed != nil {
-			if !again {
-				h.owe(m)
-			}
-			continue
+		if m.Owed != nil && again || m.Out != nil || m.New {
+			continue // its notice is on the way; its call's end, or its client's answer, will bring it
 		}
-		if m.Out != nil || m.New {
-			continue // its call's end, or its client's answer, will bring it
-		}
-		if m.Unkept && m.Body == nil {
-			// Its body was lost with the process: it can't be sent any more.
-			h.finish(m.Num, h.failedBy(limits.Refuse, m))
-			continue
+		if h.resume(m, wall) {
+			open++
 		}
-		// Guards against a clock that was set back between two lives: no message has longer than its class.
-		if most, ok := h.longest[m.Class]; ok && m.Deadline.Sub(wall) > most {
-			m.Deadline = wall.Add(most)
-		}
-		open++
-		h.arrivals = append(h.arrivals, m)
 	}
 	if len(all) > 0 {
 		h.log.Info("restored", "messages", open, "notices", len(all)-open)
 	}
 }
 
+// resume goes on with a message of an earlier life, and tells whether it has yet to end.
+func (h *Host) resume(m *memory.Message, wall time.Time) bool {
+	if m.Owed != nil {
+		h.owe(m)
+		return false
+	}
+	if m.Unkept && m.Body == nil {
+		// Its body was lost with the process: it can't be sent any more.
+		h.finish(m.Num, h.failedBy(limits.Refuse, m))
+		return false
+	}
+	// Guards against a clock that was set back between two lives: no message has longer than its class.
+	if most, ok := h.longest[m.Class]; ok && m.Deadline.Sub(wall) > most {
+		m.Deadline = wall.Add(most)
+	}
+	h.arrivals = append(h.arrivals, m)
+	return true
+}
+
 // command is run by the host's goroutine.
 type command func(h *Host)
 
@@ -242,6 +262,12 @@
 		}
 		// Guards against clients that wait for the module: what came in is written and answered before its step.
 		h.commit()
+		if h.standby {
+			h.pending = nil // Activate tells the module all
+		}
+		if h.giving != nil {
+			h.giveTurn()
+		}
 		now := h.now()
 		h.expire(now)
 		if h.wakeAt > 0 && now >= h.wakeAt {
@@ -342,7 +368,8 @@
 
 // handIn takes a message on. Its client hears of it when the turn is in the journal.
 func (h *Host) handIn(e handIn) (*memory.Message, verdict) {
-	if m := h.table.ByID(e.msg.ID); m != nil || h.table.Over(e.msg.ID) {
+	_, elsewhere := h.elsewhere[e.msg.ID]
+	if m := h.table.ByID(e.msg.ID); m != nil || elsewhere || h.table.Over(e.msg.ID) {
 		if m != nil {
 			m.Asked = true
 		}
@@ -404,6 +431,12 @@
 		}
 		h.dispatch(cl)
 	}
+	if len(h.adopted) > 0 && !h.journal.Pending() {
+		for _, done := range h.adopted {
+			close(done)
+		}
+		h.adopted = nil
+	}
 }
 
 // refuse turns a hand-in away for now.
@@ -600,7 +633,7 @@
 	if cl != nil && len(cl.items) < h.kindOf[h.kinds[m.Dest]].Batch && cl.size+itemSize(m.ID, m.Key, m.Size()) > maxBody {
 		// Guards against a batch whose body is longer than any body may be: it takes a slot of its own, if
 		// there is one.
-		if cl = nil; len(h.calls)+len(calls) >= h.set.Slots {
+		if cl = nil; len(h.calls)+len(calls) >= h.slots() {
 			h.pending = append(h.pending, policy.Ended{ID: m.Num, Attempt: m.Steps, Endpoint: a.Endpoint, Outcome: policy.Unsent})
 			m.Steps++
 			return calls
@@ -674,12 +707,15 @@
 	now := h.now()
 	delete(h.calls, e.call)
 	h.shared(e)
+	if h.giving != nil && e.wait > 0 {
+		h.waits = append(h.waits, handover.Wait{Endpoint: e.call.ep.id, Dest: e.call.ep.dest, Until: time.Now().Add(e.wait)})
+	}
 	if !h.reports {
 		e.report = nil // Guards against figures where the settings have none
 	}
 	if e.conn != nil && e.keep {
 		e.conn.usedAt = time.Now()
-		if e.conn.ep.gone() {
+		if e.conn.ep.gone() || h.giving != nil {
 			close(e.conn.calls)
 		} else {
 			e.conn.ep.idle = append(e.conn.ep.idle, e.conn)
