Do not write a batch's message whose time ran out while the call was dialled

At fault: Host.expire ended the item and took the call for written, and routeConn.carry wrote what it had been given however long the dial took. Ruled out: a second attempt (steps=1, one call only), a late hand-in, an id that came twice (neither in the log of that relay).

Now a call leaves out, behind its dial, each item that has under 20 ms left; one that is left with none is not written and counts as held back.

Test: TestWhatIsOverDoesNotGo fails without it.

--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -647,7 +647,7 @@
 	m.Steps++
 	// Guards against a message whose time is up while a more patient one keeps the call out, however short its own
 	// time-out was.
-	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, class: m.Class, notes: m.Notes, body: m.Body, load: h.loader(m), until: now + m.Deadline.Sub(wall)}
+	it := item{num: m.Num, step: m.Out.Step, id: m.ID, key: m.Key, class: m.Class, notes: m.Notes, body: m.Body, load: h.loader(m), until: now + m.Deadline.Sub(wall), by: m.Deadline}
 	// A batch lasts as long as its most patient message: to end one earlier would leave a live call behind it.
 	if cl.timeout = max(cl.timeout, a.Timeout); h.unsafe[m.Class] {
 		cl.careful = lookFor
@@ -783,8 +783,8 @@
 	return n
 }
 
-// expire ends messages whose own time is up while others keep their call out. The call goes on; should it
-// still deliver, that does no harm. Guards against a notice that comes too late.
+// expire ends messages whose own time is up while others keep their call out. The call goes on, without them if it is not written yet
+// (call.inTime); should it still deliver, that does no harm. Guards against a notice that comes too late.
 func (h *Host) expire(now policy.Time) {
 	for e := h.expiries.First(); e != nil && now >= e.At(); e = h.expiries.First() {
 		h.expiries.Remove(e)
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -132,6 +132,8 @@
 	headers [][2]string            // that plug-ins add
 	then    *then                  // a plug-in failed it: it does not go out
 	until   policy.Time            // when its own time is up
+	by      time.Time              // the same on the wall; zero: none
+	late    bool                   // it is up, or nearly, before the call could be written: it does not go out
 	expiry  *index.Entry[expiry]   // of that time, where the call goes on beyond it
 	ended   bool                   // its end was told to the module
 	anew    bool                   // the module started anew since: it is told of the message instead
@@ -268,7 +270,7 @@
 	}
 	stage = Dialled
 	// Guards against breaking a told wait or a drain that was learned while this call was dialled.
-	if cl.ep.gate.closed() || policy.EndpointState(cl.ep.state.Load()) != policy.Listed {
+	if cl.ep.gate.closed() || policy.EndpointState(cl.ep.state.Load()) != policy.Listed || !cl.inTime(time.Now()) {
 		fail(errHeldBack)
 		return res
 	}
@@ -372,7 +374,7 @@
 	size := len("[]")
 	for i := range cl.items {
 		it := &cl.items[i]
-		if it.then != nil {
+		if it.out() {
 			continue
 		}
 		body, headers, failed := set.Shape(cl.told(it))
@@ -393,18 +395,34 @@
 // going counts the items that go out.
 func (cl *call) going() (n int) {
 	for i := range cl.items {
-		if cl.items[i].then == nil {
+		if !cl.items[i].out() {
 			n++
 		}
 	}
 	return n
 }
 
+// out tells whether the item does not go out.
+func (it *item) out() bool { return it.then != nil || it.late }
+
+// leastLeft is what an item must have left as its call is written: no partner answers in less, and what is over is not sent.
+const leastLeft = 20 * time.Millisecond
+
+// inTime takes out the items whose time was up while the call was dialled, and tells whether any still goes. Guards against sending what
+// has had its final answer: one item of a batch may end while the call lasts as long as its most patient one.
+func (cl *call) inTime(now time.Time) bool {
+	for i := range cl.items {
+		it := &cl.items[i]
+		it.late = it.late || !it.by.IsZero() && it.by.Sub(now) < leastLeft
+	}
+	return cl.going() > 0
+}
+
 // heldBack puts right the ends of items that plug-ins held back: nothing of them went out.
 func (cl *call) heldBack(all []end) []end {
 	for i := range cl.items {
-		if t := cl.items[i].then; t != nil {
-			all[i] = end{outcome: policy.Unsent, then: t}
+		if it := &cl.items[i]; it.out() {
+			all[i] = end{outcome: policy.Unsent, then: it.then}
 		}
 	}
 	return all
@@ -417,7 +435,7 @@
 		in.Headers = append(in.Headers, [2]string{f.name, f.value})
 	}
 	for i := range all {
-		if all[i].then != nil || all[i].over {
+		if cl.items[i].out() || all[i].over {
 			continue
 		}
 		switch all[i].outcome {
@@ -536,7 +554,7 @@
 func appendCall(b []byte, cl *call) []byte {
 	left := strconv.FormatInt(max(1, cl.timeout.Milliseconds()), 10)
 	if cl.going() == 1 {
-		it := &cl.items[slices.IndexFunc(cl.items, func(it item) bool { return it.then == nil })]
+		it := &cl.items[slices.IndexFunc(cl.items, func(it item) bool { return !it.out() })]
 		b = append(b, "POST /hook HTTP/1.1\r\n"...)
 		b = appendField(appendField(b, "Host", cl.ep.addr), "X-Correlation-Id", it.id)
 		if it.key != "" {
@@ -551,7 +569,7 @@
 	body := []byte{'['}
 	for i := range cl.items {
 		it := &cl.items[i]
-		if it.then != nil {
+		if it.out() {
 			continue
 		}
 		if len(body) > 1 {
--- a/internal/wire/route_test.go
+++ b/internal/wire/route_test.go
@@ -263,6 +263,30 @@
 	}
 }
 
+// A batch that was dialled for longer than one of its messages had goes without that one: its client has had the final answer. One that nobody
+// waits for any more does not go at all.
+func TestWhatIsOverDoesNotGo(t *testing.T) {
+	ln := listen(t)
+	scripts, seen, bodies := make(chan script, 1), make(chan *head, 9), make(chan []byte, 9)
+	go partner(ln, scripts, seen, bodies)
+	now := time.Now()
+	rc := &routeConn{ep: &endpoint{addr: ln.Addr().String(), gate: &gate{}}, dialTimeout: time.Minute}
+	scripts <- script{write: rep("200 OK", "")}
+	res := rc.carry(&call{ep: rc.ep, deadline: now.Add(time.Minute), items: []item{{id: "late", by: now}, {id: "kept", body: []byte("x"), by: now.Add(time.Minute)}}})
+	h, body := <-seen, <-bodies
+	if h.line[1] != "/hook" || h.get("X-Correlation-Id") != "kept" || string(body) != "x" {
+		t.Errorf("sent %v with %q", h, body)
+	}
+	if res.ends[0].outcome != policy.Unsent || res.ends[1].outcome != policy.Delivered {
+		t.Errorf("ends %+v, %v", res.ends, res.err)
+	}
+	res = rc.carry(&call{ep: rc.ep, deadline: now.Add(time.Minute), items: []item{{id: "late", by: now}}})
+	if res.ends[0].outcome != policy.Unsent || len(seen) > 0 {
+		t.Errorf("alone: %+v, %d calls seen", res.ends, len(seen))
+	}
+	rc.drop()
+}
+
 // A connection that is reset, or speaks, as the request of a charge comes proves that it never ran; one that holds gets
 // the last byte.
 func TestCareful(t *testing.T) {
