Test adoption, hand-over and the figures against a ledger

Adopted messages run once by the more careful of two accounts; slots, waits, drain and ids that the other process keeps are heeded. What leaves gives the rest in the order it becomes free. Learned lines pass on by age. No change of the program.

--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -237,3 +237,114 @@
 	}
 	t.Logf("%v", counts)
 }
+
+// The figures against the ledger: refusals of a full hold, batches, resets, partners that fail and that say nothing, notices, and messages of an earlier life.
+func TestFiguresMatchTheLedger(t *testing.T) {
+	var tried atomic.Int64
+	watch := func(c standin.Call) {
+		if !c.Ended {
+			tried.Add(int64(len(c.IDs)))
+		}
+	}
+	w, r := world(t, standin.Config{Hold: 30, Slots: 8, Partners: []standin.PartnerConfig{{Dest: 1, Serve: time.Millisecond, Watch: watch},
+		{Dest: 2, Kind: "broker", Serve: 20 * time.Millisecond, Watch: watch}, {Dest: 3, Watch: watch}}})
+	w.Partners[1].Set(standin.Broken, 0.2)
+	w.Partners[3].Set(standin.Refusing, 1)
+	if all, err := r.Figures(); err != nil || all[`passed{category="fee-charge"}`] != 0 || len(all) != 13 {
+		t.Fatalf("at the start: %v, %v", all, err)
+	}
+	refused, handedIn := map[string]int{}, 0
+	send := func(n int) {
+		var lanes sync.WaitGroup
+		var mu sync.Mutex
+		for lane := range 8 {
+			lanes.Go(func() {
+				c, err := client.New(client.Config{Relays: []string{r.Addr}, NoRefusals: true})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				for i := lane; i < n; i += 8 {
+					class := standin.Classes[i%3].Name
+					res, _ := c.Send(context.Background(), client.Message{Class: class, Dest: 1 + i%3, TimeLeft: 1500 * time.Millisecond, Body: fmt.Appendf(nil, "%s/%d-%d\n", class, n, i)})
+					mu.Lock()
+					if handedIn++; res.Outcome == client.Refused {
+						refused[class]++
+						c.Close() // a told wait binds what comes after it
+						c, _ = client.New(client.Config{Relays: []string{r.Addr}, NoRefusals: true})
+					}
+					mu.Unlock()
+				}
+				c.Close()
+			})
+		}
+		lanes.Wait()
+	}
+	check := func(what string, ended, refused, tried int, before map[string]int) {
+		t.Helper()
+		all, err := r.Figures()
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := map[string]int{}
+		for name, n := range all {
+			figure, _, _ := strings.Cut(name, "{")
+			sum[figure] += n
+		}
+		did := map[string]int{}
+		for _, e := range w.Ledger.Effects() {
+			did[strings.Split(e.Name, "/")[0]]++
+		}
+		for _, c := range standin.Classes {
+			if got, want := all[fmt.Sprintf("passed{category=%q}", c.Name)], did[c.Name]-before[c.Name]; got != want {
+				t.Errorf("%s: %d passed of %s, the ledger has %d", what, got, c.Name, want)
+			}
+		}
+		if sum["passed"]+sum["dropped"]+sum["bad_gateway"] != ended+refused || sum["in_progress"] != 0 || sum["known_endpoints"] != 3 || sum["upstream_tries"] != tried {
+			t.Errorf("%s: %v; %d ended, %d refused, %d tried\n%s", what, sum, ended, refused, tried, r.Log())
+		}
+	}
+	settled := func(ended int) {
+		t.Helper()
+		if err := w.Until("all to end", func() bool {
+			all, err := r.Figures()
+			return err == nil && all["in_progress"] == 0 && w.Ledger.Len()+len(w.Platform.Notices()) >= ended
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(200)
+	total := func() (n int) {
+		for _, v := range refused {
+			n += v
+		}
+		return n
+	}
+	settled(handedIn - total())
+	check("first life", handedIn-total(), total(), int(tried.Load()), map[string]int{})
+	if total() == 0 || len(w.Platform.Notices()) == 0 {
+		t.Errorf("%d refused, %d notices: nothing was tested", total(), len(w.Platform.Notices()))
+	}
+
+	// What an earlier life left is counted by the one that ends it.
+	w.Partners[1].Set(standin.Refusing, 1)
+	w.Partners[2].Set(standin.Refusing, 1)
+	wasIn, wasRefused := handedIn, total()
+	before := map[string]int{}
+	for _, e := range w.Ledger.Effects() {
+		before[strings.Split(e.Name, "/")[0]]++
+	}
+	send(15)
+	left := handedIn - wasIn - (total() - wasRefused)
+	r.Kill()
+	triedBefore := int(tried.Load())
+	w.Partners[2].Set(standin.Well, 1)
+	if err := r.Start(); err != nil {
+		t.Fatal(err)
+	}
+	settled(wasIn - wasRefused + left)
+	if left == 0 {
+		t.Error("nothing was left")
+	}
+	check("second life", left, 0, int(tried.Load())-triedBefore, before)
+}
--- /dev/null
+++ b/internal/wire/handover_test.go
@@ -0,0 +1,133 @@
+package wire
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"oatfold/internal/handover"
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/policy"
+)
+
+// A process that takes over runs each message once by the more careful account of it, knows what the other one keeps, and heeds slots, waits and
+// the drain that it was told of.
+func TestAdoptsOnceAndHeeds(t *testing.T) {
+	var first time.Time
+	var w *world
+	w = startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) {
+		w.Lock()
+		if first.IsZero() {
+			first = time.Now()
+		}
+		w.Unlock()
+		okay(rw, r, body)
+	})
+	w.host.Do(func(h *Host) { h.standby, h.quiet = true, true })
+	until := time.Now().Add(200 * time.Millisecond)
+	msg := func(class, id string, steps int, risk time.Time) *memory.Message {
+		return &memory.Message{Num: 77, ID: id, Class: class, Key: "k", Dest: 7, Body: []byte("b"), Deadline: time.Now().Add(4 * time.Second), Steps: steps, RiskAt: risk}
+	}
+	<-w.host.Adopt(Passed{Overs: []string{"over"}})
+	<-w.host.Adopt(Passed{Msgs: []*memory.Message{msg("alert", "a", 0, time.Time{}), msg("fee", "f", 0, time.Time{}), msg("alert", "over", 0, time.Time{})},
+		News: &handover.News{Out: 3, Known: []string{"there"}, Drained: true, Waits: []handover.Wait{{Endpoint: "s-1", Dest: 7, Until: until}}}})
+	<-w.host.Adopt(Passed{Msgs: []*memory.Message{msg("fee", "f", 1, time.Now()), msg("alert", "a", 0, time.Time{})}})
+	if got := w.client(hand("alert", "there", "", "b", 4000)); got != 202 {
+		t.Errorf("what the other process keeps was answered %d", got)
+	}
+	w.host.Do(func(h *Host) {
+		if h.slots() != 1 || h.table.Live() != 2 {
+			t.Errorf("%d slots, %d held", h.slots(), h.table.Live())
+		}
+	})
+	if !w.host.Activate() {
+		t.Error("the drain was not passed on")
+	}
+	w.until("the notice", func() bool { return len(w.notices) > 0 })
+	w.empty()
+	w.Lock()
+	if !slices.Equal(w.calls, []string{"a"}) || first.Before(until) {
+		t.Errorf("called %v, %v before the wait was over", w.calls, until.Sub(first))
+	}
+	w.Unlock()
+	<-w.host.Adopt(Passed{Last: true})
+	w.host.Do(func(h *Host) {
+		if h.slots() != h.set.Slots || len(h.elsewhere) > 0 {
+			t.Errorf("alone: %d slots, %v elsewhere", h.slots(), h.elsewhere)
+		}
+	})
+}
+
+// A process that hands over gives what is not out, then what it still takes on and what its calls leave undone, and makes no further step.
+func TestGivesAllThatIsLeft(t *testing.T) {
+	release := make(chan struct{})
+	w := startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) { <-release; rw.WriteHeader(500) })
+	var mu sync.Mutex
+	var given []*memory.Message
+	var news []*handover.News
+	give := func(b []byte) error {
+		msgs, text, err := journal.Given(b)
+		if err != nil {
+			return err
+		}
+		n, err := handover.Decode(text)
+		mu.Lock()
+		defer mu.Unlock()
+		given, news = append(given, msgs...), append(news, n)
+		return err
+	}
+	w.client(hand("order", "out", "Idempotency-Key: k\r\n", "b", 9000))
+	w.until("the call", func() bool { return len(w.calls) == 1 })
+	w.host.Do(func(h *Host) { h.endpoints["s-1"].gate.hold(time.Minute); h.relay.Wait(h.now(), "s-1", time.Minute) })
+	w.client(hand("alert", "held", "", "b", 4000))
+	if err := w.host.HandOver(give, true); err != nil {
+		t.Fatal(err)
+	}
+	mu.Lock()
+	if n := news[0]; len(given) != 1 || given[0].ID != "held" || n.Out != 1 || !slices.Equal(n.Known, []string{"out"}) || !n.Drained ||
+		len(n.Waits) != 1 || len(n.List.Members) != 1 || n.List.Generation != 1 {
+		t.Errorf("first: %v, %+v", given, n)
+	}
+	mu.Unlock()
+	if got := w.client(hand("fee", "more", "", "b", 9000)); got != 202 {
+		t.Errorf("still taken on: %d", got)
+	}
+	close(release)
+	waitFor(t, "the rest", func() bool { mu.Lock(); defer mu.Unlock(); return len(given) == 3 && news[len(news)-1].Out == 0 })
+	w.empty()
+	mu.Lock()
+	defer mu.Unlock()
+	if i := slices.IndexFunc(given, func(m *memory.Message) bool { return m.ID == "out" }); i < 0 || given[i].Steps != 1 || given[i].RiskAt.IsZero() {
+		t.Errorf("what its call left undone: %+v", given)
+	}
+	if w.Lock(); len(w.calls) != 1 || len(w.notices) > 0 {
+		t.Errorf("calls %v, notices %v", w.calls, w.notices)
+	}
+	w.Unlock()
+}
+
+// What a relay has learned of a line is known to the next one, by age: its slot, its outage, its wait.
+func TestLearnedPassesOn(t *testing.T) {
+	set := testSettings()
+	old, _ := policy.New(set, 1)
+	list := []policy.Endpoint{{Address: "e", Destination: 7, Kind: "small"}}
+	old.Step(time.Second, []policy.Event{policy.ListNews{Kind: policy.ListWhole, Entries: list}, policy.Arrived{ID: 1, Class: "order", Destination: 7, Left: 20 * time.Second}})
+	old.Step(2*time.Second, []policy.Event{policy.Ended{ID: 1, Endpoint: "e", Outcome: policy.Rejected, Wait: 2 * time.Second}})
+	learned := old.Learned(2500 * time.Millisecond)
+	if len(learned) != 1 || learned[0].Wait < 1500*time.Millisecond || learned[0].Claimed != 1500*time.Millisecond {
+		t.Fatalf("%+v", learned)
+	}
+	next, _ := policy.New(set, 2)
+	next.Learn(time.Hour, list, learned)
+	acts := next.Step(time.Hour, []policy.Event{policy.Arrived{ID: 1, Class: "order", Destination: 7, Left: 20 * time.Second}})
+	if slices.ContainsFunc(acts, func(a policy.Action) bool { _, sent := a.(policy.Send); return sent }) {
+		t.Errorf("sent while the wait ran: %v", acts)
+	}
+	acts = next.Step(time.Hour+5*time.Second, []policy.Event{policy.Woke{}})
+	if !slices.ContainsFunc(acts, func(a policy.Action) bool { _, sent := a.(policy.Send); return sent }) {
+		t.Errorf("not sent after it: %v", acts)
+	}
+}
