Test refused starts, a third process, a full folder and a list that reached one of two

Each of the bad inputs has a test with the real program or the host. Seen beside it and left open: where only charges wait for a destination whose connections were refused, none goes as the first try until their time is up (Relay.suits), with and without an upgrade.

--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -348,3 +349,126 @@
 	}
 	check("second life", left, 0, int(tried.Load())-triedBefore, before)
 }
+
+// Addresses that are taken end the start with one line that names the key, and the state folder of whoever serves there is not touched.
+func TestStartRefusedWhereAddressesAreTaken(t *testing.T) {
+	w, r := world(t, standin.Config{Partners: partners})
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // as an earlier version listens
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	taken := ln.Addr().String()
+	for key, set := range map[string]func(*standin.Relay){"admin (ROUTER_ADMIN)": func(n *standin.Relay) { n.Admin = taken }, "listen:": func(n *standin.Relay) { n.Addr = taken }} {
+		n, err := w.NewRelay()
+		if err != nil {
+			t.Fatal(err)
+		}
+		set(n)
+		if err := n.Configure(); err != nil {
+			t.Fatal(err)
+		}
+		err = n.Start()
+		if text := n.Log(); err == nil || strings.Count(text, "\n") > 0 || !strings.Contains(text, key) {
+			t.Errorf("%s: %v: %q", key, err, text)
+		}
+		if entries, _ := os.ReadDir(n.State); len(entries) > 0 {
+			t.Errorf("%s: the folder holds %v", key, entries)
+		}
+	}
+	if ready(r.Addr) != 200 {
+		t.Error("the relay that serves was disturbed")
+	}
+}
+
+// A third process stands by as the second does; whoever is left takes over, each time.
+func TestThirdProcessStandsBy(t *testing.T) {
+	w, r := world(t, standin.Config{Partners: partners})
+	l := start(t, w, r.Addr)
+	procs := []*standin.Relay{r}
+	for range 2 {
+		n, err := r.Beside()
+		if err == nil {
+			err = n.Await("standing by")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		procs = append(procs, n)
+	}
+	if err := r.Stop(); err != nil || r.Logged("handed over") != 1 {
+		t.Fatalf("%v\n%s", err, r.Log())
+	}
+	if err := w.Until("a successor", func() bool { return procs[1].Logged("msg=ready")+procs[2].Logged("msg=ready") == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	first, second := procs[1], procs[2]
+	if second.Logged("msg=ready") == 1 {
+		first, second = second, first
+	}
+	first.Kill()
+	if err := second.Await("msg=ready"); err != nil {
+		t.Fatal(err)
+	}
+	if counts := l.end(t, second.Log); counts[client.Taken] < 20 {
+		t.Errorf("%v", counts)
+	}
+	if err := second.Stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// An upgrade while the folder is full, with all that is held in it: nothing is lost, nothing new is promised that can't be kept, the budget holds over both.
+func TestUpgradeWithAFullFolder(t *testing.T) {
+	const budget = 300_000
+	w, r := world(t, standin.Config{DiskMB: budget / 1e6, Hold: 400, Partners: []standin.PartnerConfig{{Dest: 7}}})
+	w.Partners[7].Set(standin.Refusing, 1)
+	taken := map[string]client.Result{}
+	refused := false
+	for n := 0; !refused; n++ {
+		c, err := client.New(client.Config{Relays: []string{r.Addr}, NoRefusals: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		class := []string{"fee-charge", "order-relay"}[n%2] // no charge is the first into a destination that was out
+		name := fmt.Sprint(class, "/", n)
+		res, _ := c.Send(context.Background(), client.Message{Class: class, Dest: 7, TimeLeft: 19 * time.Second, Body: fmt.Appendf(nil, "%s\n%02000d", name, 0)})
+		if c.Close(); res.Outcome == client.Taken {
+			taken[name] = res
+		}
+		refused = res.Outcome == client.Refused
+	}
+	next, err := r.Beside()
+	if err == nil {
+		err = next.Await("standing by")
+	}
+	if err != nil || r.Stop() != nil || next.Await("msg=ready") != nil {
+		t.Fatalf("%v\n%s", err, next.Log())
+	}
+	w.Partners[7].Set(standin.Well, 1)
+	if err := w.Until("all to end", func() bool {
+		did, told := w.Ledger.Count(), w.Platform.Notices()
+		for name, res := range taken {
+			if did[name] == 0 && told[res.ID].Outcome == "" {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		t.Fatalf("%v\n%s", err, next.Log())
+	}
+	if d := w.Ledger.Doubles("fee-charge"); len(d) > 0 || len(taken) < 10 || w.Ledger.Len() < len(taken)/2 {
+		t.Errorf("%d taken, %d ran, doubles %v", len(taken), w.Ledger.Len(), d)
+	}
+	size := int64(0)
+	filepath.WalkDir(r.State, func(_ string, e os.DirEntry, _ error) error {
+		if info, err := e.Info(); err == nil && !e.IsDir() {
+			size += (info.Size() + 511) / 512 * 512
+		}
+		return nil
+	})
+	if size > budget {
+		t.Errorf("the folder holds %d bytes", size)
+	}
+	t.Logf("%d held over the upgrade, %d ran, folder %d bytes after it", len(taken), w.Ledger.Len(), size)
+}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -48,6 +48,22 @@
 
 // StartRelay starts a relay of the world with these arguments and waits until it is ready.
 func (w *World) StartRelay(bin string, args ...string) (*Relay, error) {
+	r, err := w.newRelay(bin, args)
+	if err != nil {
+		return nil, err
+	}
+	return r, r.Start()
+}
+
+// NewRelay returns a further relay of the world, of the program of the last one, that is not started yet.
+func (w *World) NewRelay() (*Relay, error) {
+	w.mu.Lock()
+	last := w.relays[len(w.relays)-1]
+	w.mu.Unlock()
+	return w.newRelay(last.bin, last.args)
+}
+
+func (w *World) newRelay(bin string, args []string) (*Relay, error) {
 	addr, err := Addr()
 	if err != nil {
 		return nil, err
@@ -65,10 +81,12 @@
 	if err := os.Mkdir(r.State, 0o700); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(r.config, w.configuration(fmt.Sprintf("n%d", n), addr), 0o600); err != nil {
-		return nil, err
-	}
-	return r, r.Start()
+	return r, r.Configure()
+}
+
+// Configure writes what the platform tells the relay.
+func (r *Relay) Configure() error {
+	return os.WriteFile(r.config, r.world.configuration(filepath.Base(r.State), r.Addr), 0o600)
 }
 
 // configuration is what the platform tells a relay.
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -43,6 +43,20 @@
 			t.Errorf("%d slots, %d held", h.slots(), h.table.Live())
 		}
 	})
+	// A change of the list that reached the other process only is taken over; one that is older than what this one has is not.
+	for _, c := range []struct {
+		generation int64
+		state      policy.EndpointState
+		want       policy.EndpointState
+	}{{0, policy.Draining, policy.Listed}, {9, policy.Draining, policy.Draining}, {10, policy.Listed, policy.Listed}} {
+		<-w.host.Adopt(Passed{News: &handover.News{Out: 3, List: &handover.List{Generation: c.generation, Members: []handover.Member{
+			{Endpoint: policy.Endpoint{Address: "s-1", Destination: 7, Kind: "broker", Zone: "z", State: c.state}, HostPort: w.ln.Listener.Addr().String()}}}}})
+		w.host.Do(func(h *Host) {
+			if got := policy.EndpointState(h.endpoints["s-1"].state.Load()); got != c.want {
+				t.Errorf("list of generation %d: state %v, want %v", c.generation, got, c.want)
+			}
+		})
+	}
 	if !w.host.Activate() {
 		t.Error("the drain was not passed on")
 	}
