Send a message that hardly has time left alone, not in a batch

Ruled out: a spoilt or cut answer (err nil, five states), a second attempt (one step each), clients that had gone (four of them at once).

At fault: Relay.fill put messages with 0.1 to 1.0 s left beside patient ones, in calls that last as long as the most patient. Now one that has less time left than a late answer takes goes alone (Relay.lasts).

The bound is the module's own for an answer that is late.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -264,12 +264,6 @@
 	return false
 }
 
-// average books one arrival in a rate over rateMemory.
-func (r *Relay) average(rate float64, last Time) float64 {
-	w := rateMemory.Seconds()
-	return rate*max(0, 1-(r.now-last).Seconds()/w) + 1/w
-}
-
 // finish books that nothing more is owed for m; it stays known while an attempt is out.
 func (r *Relay) finish(m *message) {
 	m.answered = true
@@ -278,13 +272,6 @@
 	}
 }
 
-func (r *Relay) release(m *message) {
-	delete(r.msgs, m.id)
-	if m.key != nil {
-		m.key.queue = without(m.key.queue, m)
-	}
-}
-
 // mayRefuse tells whether the client may be told that trying again does no harm.
 func (m *message) mayRefuse() bool {
 	c := m.class
@@ -820,16 +807,20 @@
 func (r *Relay) fill(m *message, ep *endpoint, rest []*message) []*message {
 	batch := []*message{m}
 	for _, o := range rest {
-		if len(batch) >= m.dest.kind.Batch {
+		if len(batch) >= m.dest.kind.Batch || !r.lasts(m, ep.line) {
 			break
 		}
-		if o.dest == m.dest && r.eligible(o) && allowed(o, ep) && r.suits(o, ep.line) {
+		if o.dest == m.dest && r.eligible(o) && allowed(o, ep) && r.suits(o, ep.line) && r.lasts(o, ep.line) {
 			batch = append(batch, o)
 		}
 	}
 	return batch
 }
 
+// lasts tells whether m has time for any call to l that is not given up. Risk: a batch lasts as long as its
+// most patient message, and is answered as one: who runs out of time meanwhile is ended while it runs on.
+func (r *Relay) lasts(m *message, l *line) bool { return m.deadline-r.now >= r.overdue(l) }
+
 // allowed tells whether m may go to ep as far as its group is concerned.
 func allowed(m *message, ep *endpoint) bool {
 	return !m.mayHave || !m.class.ZoneOnly || ep.Zone == m.riskZone
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -321,6 +321,22 @@
 	b.sent(b.after(50*ms, end(5, 0, Delivered)), 3, 6)
 }
 
+// A message that may run out of time before a late answer comes goes alone, whether it is the first or a further one: a batch lasts as long as
+// its most patient message.
+func TestShortOfTimeGoesAlone(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		b := start(t, func(s *Settings) { s.Slots = 1 })
+		b.sent(b.step(b.msg("unsafe", 2, "")), 1)
+		one, two := b.msg("safe", 2, ""), b.msg("safe", 2, "")
+		short := &two
+		if first {
+			short = &one
+		}
+		short.Left = leastOverdue * b.r.set.Tick // an answer of this line is late no sooner
+		b.sent(b.after(100*ms, end(1, 0, Delivered), one, two), 2)
+	}
+}
+
 // The slot: from nought to a turn (aim over attempts) or spacing times senders, whichever is less, then fourfold up to
 // the trickle while nothing is taken, cut by a twentieth.
 func TestSlotArithmetic(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -183,3 +183,17 @@
 		r.reckon(ep)
 	}
 }
+
+// average books one arrival in a rate over rateMemory.
+func (r *Relay) average(rate float64, last Time) float64 {
+	w := rateMemory.Seconds()
+	return rate*max(0, 1-(r.now-last).Seconds()/w) + 1/w
+}
+
+// release forgets m.
+func (r *Relay) release(m *message) {
+	delete(r.msgs, m.id)
+	if m.key != nil {
+		m.key.queue = without(m.key.queue, m)
+	}
+}
