Pass on pace and calls out, so that a successor neither hands back its queue nor gives sick partners more slots

Causes: Relay.pace began at nought, and the first look at it (a quarter of the true rate) made the queue look four times as long as it was (shed); and slots lent to hanging calls were only taken off the number of slots, so that sick destinations got half of what was left as well. Ruled out: turned-away connections (0 requests ended at the door), refused calls (2 to 5).

policy.Learned now has the pace, the shortage and the shares by kind; the calls that the process before still has out stand in the successor's module on their lines, so that three quarters, a half and the slots hold over both. Test: TestLentCallsHoldSlots.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,5 +1,5 @@
-// Package handover is what two processes of one relay agree on as one takes the other's place: what is passed on, how disk and slots
-// are shared out meanwhile, and the course of the one that leaves. It does no I/O and reads no clock.
+// Package handover is what two processes of one relay agree on as one takes the other's place: what is passed on, how the disk
+// is shared out meanwhile, and the course of the one that leaves. It does no I/O and reads no clock.
 package handover
 
 import (
@@ -12,12 +12,12 @@
 
 // News is what the process that leaves tells beside messages.
 type News struct {
-	Out     int              `json:"out"`               // calls that it has out
-	Waits   []Wait           `json:"waits,omitempty"`   // told waits that are not over
-	Known   []string         `json:"known,omitempty"`   // ids that it took on and keeps: their calls are out
-	Learned []policy.Learned `json:"learned,omitempty"` // what the module knows of destinations
-	List    *List            `json:"list,omitempty"`    // the pool config
-	Drained bool             `json:"drained,omitempty"` // the operators have emptied the relay
+	Out     []policy.Lent   `json:"out,omitempty"`     // calls that it has out
+	Waits   []Wait          `json:"waits,omitempty"`   // told waits that are not over
+	Known   []string        `json:"known,omitempty"`   // ids that it took on and keeps: their calls are out
+	Learned *policy.Learned `json:"learned,omitempty"` // what the module knows
+	List    *List           `json:"list,omitempty"`    // the pool config
+	Drained bool            `json:"drained,omitempty"` // the operators have emptied the relay
 }
 
 // Wait is a told wait.
@@ -61,9 +61,6 @@
 // of what neither does.
 func Budget(all, mine, others int64) int64 { return mine + max(0, all-mine-others)/2 }
 
-// Slots is how many calls this process may have out, while the one before still has some.
-func Slots(all, lent int) int { return max(1, all-max(0, lent)) }
-
 // Times of the process that leaves, from SIGTERM on.
 const (
 	LetGoBy = 450 * time.Millisecond  // without a word of its successor it closes its listener then, as at any planned stop
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -51,13 +51,10 @@
 			}
 		}
 	})
-	if Slots(4, 3) != 1 || Slots(4, 9) != 1 || Slots(22, 0) != 22 || Slots(22, -1) != 22 {
-		t.Error("slots")
-	}
 }
 
 func TestNewsComesThrough(t *testing.T) {
-	n := &News{Out: 3, Waits: []Wait{{"e", 7, time.Unix(5, 6).UTC()}}, Known: []string{"a"}, Learned: []policy.Learned{{Endpoint: "e", Gap: time.Second}},
+	n := &News{Out: []policy.Lent{{Endpoint: "e", Age: time.Second}}, Waits: []Wait{{"e", 7, time.Unix(5, 6).UTC()}}, Known: []string{"a"}, Learned: &policy.Learned{Pace: 3, Lines: []policy.Line{{Endpoint: "e", Gap: time.Second}}},
 		List: &List{4, []Member{{policy.Endpoint{Address: "e", State: policy.Draining}, "127.0.0.1:1"}}}, Drained: true}
 	got, err := Decode(n.Encode())
 	if err != nil || !reflect.DeepEqual(got, n) {
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -34,7 +34,7 @@
 		}
 		if p.Last {
 			h.elsewhere = nil
-			h.lend(0)
+			h.lend(nil)
 		}
 		h.adopted = append(h.adopted, done)
 	})
@@ -71,8 +71,8 @@
 		h.listed = true
 		h.poolNews(pc, policy.ListWhole)
 	}
-	if len(n.Learned) > 0 {
-		h.learned = n.Learned
+	if n.Learned != nil {
+		h.learned = *n.Learned
 	}
 	for _, id := range n.Known {
 		if h.table.ByID(id) == nil && !h.table.Over(id) {
@@ -109,27 +109,13 @@
 	}
 }
 
-// lend leaves slots to the calls that the process before still has out.
-func (h *Host) lend(out int) {
-	if out == h.lent {
-		return
-	}
+// lend books the calls that the process before still has out.
+func (h *Host) lend(out []policy.Lent) {
 	h.lent = out
-	h.reslot()
-}
-
-func (h *Host) reslot() {
-	set := h.set
-	set.Slots = h.slots()
-	if err := h.relay.Reconfigure(set); err != nil {
-		h.log.Error("slots not shared out", "err", err) // the settings were good with all of them
-	}
+	h.relay.Lend(h.now(), out)
 	h.pending = append(h.pending, policy.Woke{})
 }
 
-// slots is how many calls this process may have out.
-func (h *Host) slots() int { return handover.Slots(h.set.Slots, h.lent) }
-
 // Activate begins the steps of a host that stood by, and tells whether the relay was drained by its operators.
 func (h *Host) Activate() (drained bool) {
 	h.Do(func(h *Host) {
@@ -143,9 +129,10 @@
 			h.firstBy = h.now() + listPatience
 		}
 		h.relay.Learn(h.now(), list, h.learned)
+		h.relay.Lend(h.now(), h.lent)
 		h.standby, h.quiet, drained = false, false, h.drained
 		h.heldBack(h.waits)
-		h.learned, h.waits = nil, nil
+		h.learned, h.waits = policy.Learned{}, nil
 		h.pending = append(h.pending, policy.Woke{})
 	})
 	return drained
@@ -165,7 +152,8 @@
 // also what it still takes on and what its calls leave undone. Where the first cannot be given, all stays as it was.
 func (h *Host) HandOver(give func([]byte) error, drained bool) (err error) {
 	h.Do(func(h *Host) {
-		news := &handover.News{Drained: drained, Learned: h.relay.Learned(h.now()), List: &handover.List{Generation: h.generation}}
+		learned := h.relay.Learned(h.now())
+		news := &handover.News{Drained: drained, Learned: &learned, List: &handover.List{Generation: h.generation}}
 		for _, ep := range h.endpoints {
 			news.List.Members = append(news.List.Members, handover.Member{HostPort: ep.addr, Endpoint: policy.Endpoint{Address: ep.id, Destination: ep.dest,
 				Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate}})
@@ -206,14 +194,18 @@
 // give gives those of msgs that can be, if there is anything to tell.
 func (h *Host) give(to func([]byte) error, msgs []*memory.Message, news *handover.News) error {
 	msgs = slices.DeleteFunc(slices.Clone(msgs), func(m *memory.Message) bool { return h.table.Get(m.Num) != m || !mayGive(m) })
-	if news.Out, news.Waits = len(h.calls), h.waits; len(msgs) == 0 && len(h.waits) == 0 && news.Out == h.toldOut {
+	if len(msgs) == 0 && len(h.waits) == 0 && len(h.calls) == h.toldOut {
 		return nil
 	}
+	news.Waits = h.waits
+	for cl := range h.calls {
+		news.Out = append(news.Out, policy.Lent{Endpoint: cl.ep.id, Age: h.now() - cl.began})
+	}
 	if err := to(journal.Give(msgs, news.Encode())); err != nil {
 		h.log.Error("not given to the process that takes over: it stays in the room", "messages", len(msgs), "err", err)
 		return err
 	}
-	h.waits, h.toldOut = nil, news.Out
+	h.waits, h.toldOut = nil, len(h.calls)
 	for _, m := range msgs {
 		// Its id is not kept as over: it is not.
 		h.end(m, true)
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -31,16 +31,17 @@
 	msg := func(class, id string, steps int, risk time.Time) *memory.Message {
 		return &memory.Message{Num: 77, ID: id, Class: class, Key: "k", Dest: 7, Body: []byte("b"), Deadline: time.Now().Add(4 * time.Second), Steps: steps, RiskAt: risk}
 	}
+	lent := []policy.Lent{{Endpoint: "s-1"}, {Endpoint: "s-1"}, {Endpoint: "s-1"}}
 	<-w.host.Adopt(Passed{Overs: []string{"over"}})
 	<-w.host.Adopt(Passed{Msgs: []*memory.Message{msg("alert", "a", 0, time.Time{}), msg("fee", "f", 0, time.Time{}), msg("alert", "over", 0, time.Time{})},
-		News: &handover.News{Out: 3, Known: []string{"there"}, Drained: true, Waits: []handover.Wait{{Endpoint: "s-1", Dest: 7, Until: until}}}})
+		News: &handover.News{Out: lent, Known: []string{"there"}, Drained: true, Waits: []handover.Wait{{Endpoint: "s-1", Dest: 7, Until: until}}}})
 	<-w.host.Adopt(Passed{Msgs: []*memory.Message{msg("fee", "f", 1, time.Now()), msg("alert", "a", 0, time.Time{})}})
 	if got := w.client(hand("alert", "there", "", "b", 4000)); got != 202 {
 		t.Errorf("what the other process keeps was answered %d", got)
 	}
 	w.host.Do(func(h *Host) {
-		if h.slots() != 1 || h.table.Live() != 2 {
-			t.Errorf("%d slots, %d held", h.slots(), h.table.Live())
+		if len(h.lent) != 3 || h.table.Live() != 2 {
+			t.Errorf("%v lent, %d held", h.lent, h.table.Live())
 		}
 	})
 	// A change of the list that reached the other process only is taken over; one that is older than what this one has is not.
@@ -49,7 +50,7 @@
 		state      policy.EndpointState
 		want       policy.EndpointState
 	}{{0, policy.Draining, policy.Listed}, {9, policy.Draining, policy.Draining}, {10, policy.Listed, policy.Listed}} {
-		<-w.host.Adopt(Passed{News: &handover.News{Out: 3, List: &handover.List{Generation: c.generation, Members: []handover.Member{
+		<-w.host.Adopt(Passed{News: &handover.News{Out: lent[:1], List: &handover.List{Generation: c.generation, Members: []handover.Member{
 			{Endpoint: policy.Endpoint{Address: "s-1", Destination: 7, Kind: "broker", Zone: "z", State: c.state}, HostPort: w.ln.Listener.Addr().String()}}}}})
 		w.host.Do(func(h *Host) {
 			if got := policy.EndpointState(h.endpoints["s-1"].state.Load()); got != c.want {
@@ -69,8 +70,8 @@
 	w.Unlock()
 	<-w.host.Adopt(Passed{Last: true})
 	w.host.Do(func(h *Host) {
-		if h.slots() != h.set.Slots || len(h.elsewhere) > 0 {
-			t.Errorf("alone: %d slots, %v elsewhere", h.slots(), h.elsewhere)
+		if len(h.lent) > 0 || len(h.elsewhere) > 0 {
+			t.Errorf("alone: %v lent, %v elsewhere", h.lent, h.elsewhere)
 		}
 	})
 }
@@ -101,7 +102,7 @@
 		t.Fatal(err)
 	}
 	mu.Lock()
-	if n := news[0]; len(given) != 1 || given[0].ID != "held" || n.Out != 1 || !slices.Equal(n.Known, []string{"out"}) || !n.Drained ||
+	if n := news[0]; len(given) != 1 || given[0].ID != "held" || len(n.Out) != 1 || !slices.Equal(n.Known, []string{"out"}) || !n.Drained ||
 		len(n.Waits) != 1 || len(n.List.Members) != 1 || n.List.Generation != 1 {
 		t.Errorf("first: %v, %+v", given, n)
 	}
@@ -110,7 +111,7 @@
 		t.Errorf("still taken on: %d", got)
 	}
 	close(release)
-	waitFor(t, "the rest", func() bool { mu.Lock(); defer mu.Unlock(); return len(given) == 3 && news[len(news)-1].Out == 0 })
+	waitFor(t, "the rest", func() bool { mu.Lock(); defer mu.Unlock(); return len(given) == 3 && len(news[len(news)-1].Out) == 0 })
 	w.empty()
 	mu.Lock()
 	defer mu.Unlock()
@@ -131,7 +132,7 @@
 	old.Step(time.Second, []policy.Event{policy.ListNews{Kind: policy.ListWhole, Entries: list}, policy.Arrived{ID: 1, Class: "order", Destination: 7, Left: 20 * time.Second}})
 	old.Step(2*time.Second, []policy.Event{policy.Ended{ID: 1, Endpoint: "e", Outcome: policy.Rejected, Wait: 2 * time.Second}})
 	learned := old.Learned(2500 * time.Millisecond)
-	if len(learned) != 1 || learned[0].Wait < 1500*time.Millisecond || learned[0].Claimed != 1500*time.Millisecond {
+	if l := learned.Lines; len(l) != 1 || l[0].Wait < 1500*time.Millisecond || l[0].Claimed != 1500*time.Millisecond {
 		t.Fatalf("%+v", learned)
 	}
 	next, _ := policy.New(set, 2)
@@ -145,3 +146,37 @@
 		t.Errorf("not sent after it: %v", acts)
 	}
 }
+
+// Calls that the process before has out hold slots and their destination's share, until it is told that they ended; its pace goes on, so that what was
+// taken over is not handed back for want of one.
+func TestLentCallsHoldSlots(t *testing.T) {
+	set := testSettings() // four slots, three for a destination
+	r, _ := policy.New(set, 1)
+	list := []policy.Endpoint{{Address: "e", Destination: 7, Kind: "small"}, {Address: "f", Destination: 8, Kind: "small"}}
+	r.Learn(time.Second, list, policy.Learned{Pace: 20, Short: time.Second})
+	if got := r.Learned(time.Second); got.Pace != 20 || got.Short != time.Second {
+		t.Errorf("%+v", got)
+	}
+	sends := func(now time.Duration, lent []policy.Lent, events ...policy.Event) (to []string) {
+		r.Lend(now, lent)
+		for _, a := range r.Step(now, events) {
+			if s, ok := a.(policy.Send); ok {
+				to = append(to, s.Endpoint)
+			}
+		}
+		return to
+	}
+	msg := func(id uint32, dest int) policy.Event {
+		return policy.Arrived{ID: id, Class: "order", Destination: dest, Left: 20 * time.Second}
+	}
+	three := []policy.Lent{{Endpoint: "e"}, {Endpoint: "e"}, {Endpoint: "e"}, {Endpoint: "gone"}}
+	if to := sends(2*time.Second, three, msg(1, 7), msg(2, 8), msg(3, 8)); !slices.Equal(to, []string{"f"}) {
+		t.Errorf("with three lent: %v", to)
+	}
+	if to := sends(3*time.Second, three[:2], policy.Woke{}); !slices.Equal(to, []string{"e"}) {
+		t.Errorf("with two lent: %v", to)
+	}
+	if to := sends(4*time.Second, nil, policy.Woke{}); !slices.Equal(to, []string{"f"}) {
+		t.Errorf("with none: %v", to)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -77,8 +77,8 @@
 	giving    func([]byte) error     // another process takes this one's place: what is not out goes there
 	waits     []handover.Wait        // that the other process has yet to hear of, or this one's module
 	toldOut   int                    // calls out as it was told last
-	lent      int                    // slots that calls of the process before still hold
-	learned   []policy.Learned       // of the process before, until the steps begin
+	lent      []policy.Lent          // calls that the process before still has out
+	learned   policy.Learned         // of the process before, until the steps begin
 	drained   bool                   // that one was drained
 	elsewhere map[string]struct{}    // ids that it took on and keeps
 	adopted   []chan<- struct{}      // closed once what was taken over is in the journal
@@ -180,9 +180,6 @@
 		if err = h.relay.Reconfigure(c.Settings); err != nil {
 			return
 		}
-		if h.lent > 0 {
-			defer h.reslot()
-		}
 		h.set, h.reports, h.dialTimeout, h.idleMost = c.Settings, c.Reports, c.ConnectTimeout, c.IdleMost
 		h.name(c.Settings)
 		h.journal.Resize(c.DiskBytes)
@@ -633,7 +630,7 @@
 	if cl != nil && len(cl.items) < h.kindOf[h.kinds[m.Dest]].Batch && cl.size+itemSize(m.ID, m.Key, m.Size()) > maxBody {
 		// Guards against a batch whose body is longer than any body may be: it takes a slot of its own, if
 		// there is one.
-		if cl = nil; len(h.calls)+len(calls) >= h.slots() {
+		if cl = nil; len(h.calls)+len(h.lent)+len(calls) >= h.set.Slots {
 			h.pending = append(h.pending, policy.Ended{ID: m.Num, Attempt: m.Steps, Endpoint: a.Endpoint, Outcome: policy.Unsent})
 			m.Steps++
 			return calls
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -2,9 +2,24 @@
 
 import "time"
 
-// Learned is what a relay knows of a line, for the process that takes its place. Times are ages, since the two have clocks of
+// Learned is what a relay knows beside its messages, for the process that takes its place. Times are ages, since the two have clocks of
 // their own.
 type Learned struct {
+	Lines []Line             `json:"lines,omitempty"`
+	Pace  float64            `json:"pace"`
+	Short time.Duration      `json:"short"`
+	Soon  map[string]float64 `json:"soon,omitempty"` // by kind, as Again
+	Again map[string]float64 `json:"again,omitempty"`
+}
+
+// Lent is a call that the process before still has out: it holds a slot, and a place at its destination.
+type Lent struct {
+	Endpoint string        `json:"endpoint"`
+	Age      time.Duration `json:"age"`
+}
+
+// Line is what it knows of one line.
+type Line struct {
 	Endpoint  string        `json:"endpoint"` // the line's first one
 	Gap       time.Duration `json:"gap"`
 	CalmGap   time.Duration `json:"calm"`
@@ -27,8 +42,12 @@
 	LastFresh time.Duration `json:"in"`
 }
 
-// Learned returns what this relay knows of its lines. Lines without a call yet are left out.
-func (r *Relay) Learned(now Time) (all []Learned) {
+// Learned returns what this relay knows. Lines without a call yet are left out.
+func (r *Relay) Learned(now Time) Learned {
+	all := Learned{Pace: r.pace, Short: r.short, Soon: map[string]float64{}, Again: map[string]float64{}}
+	for name, k := range r.kinds {
+		all.Soon[name], all.Again[name] = r.soon[k], r.again[k]
+	}
 	age := func(at Time) time.Duration {
 		if at == 0 {
 			return -1
@@ -40,7 +59,7 @@
 			if len(l.eps) == 0 || l.claimed == 0 && l.waitTil <= now {
 				continue
 			}
-			all = append(all, Learned{Endpoint: l.eps[0].Address, Gap: l.gap, CalmGap: l.calmGap, Claimed: age(l.claimed), Refused: age(l.refusedAt),
+			all.Lines = append(all.Lines, Line{Endpoint: l.eps[0].Address, Gap: l.gap, CalmGap: l.calmGap, Claimed: age(l.claimed), Refused: age(l.refusedAt),
 				Wait: max(0, l.waitTil-now), State: int(l.state), Ramp: age(l.rampAt), Run: l.run, HardRun: l.hardRun, RunAt: age(l.runAt),
 				LastOK: age(l.lastOK), Bad: l.bad, Latency: l.latency, Recent: l.recent, Rate: l.rate, Told: l.told, OwnRate: l.ownRate,
 				Demand: d.demand, LastFresh: age(d.lastIn)})
@@ -50,7 +69,7 @@
 }
 
 // Learn takes over what the process before knew. It comes before the first step, with the list as Step has had it or as given here.
-func (r *Relay) Learn(now Time, list []Endpoint, known []Learned) {
+func (r *Relay) Learn(now Time, list []Endpoint, known Learned) {
 	r.now = max(now, r.now)
 	if len(list) > 0 {
 		r.listNews(ListNews{Kind: ListRestored, Entries: list})
@@ -62,7 +81,17 @@
 		}
 		return max(1, r.now-age)
 	}
-	for _, k := range known {
+	// Risk: a pace that begins at nought is taken for a queue that lasts for ever, and most of what was taken over is handed back.
+	r.pace, r.short = known.Pace, known.Short
+	for name, k := range r.kinds {
+		if v, told := known.Soon[name]; told {
+			r.soon[k] = v
+		}
+		if v, told := known.Again[name]; told {
+			r.again[k] = v
+		}
+	}
+	for _, k := range known.Lines {
 		ep := r.eps[k.Endpoint]
 		if ep == nil || k.State < int(healthy) || k.State > int(ramping) {
 			continue
@@ -82,3 +111,27 @@
 		ep.line.waitTil = max(ep.line.waitTil, now+left)
 	}
 }
+
+// Lend books the calls that the process before still has out, in place of those booked last: slots, and the share of a destination, hold
+// over both.
+func (r *Relay) Lend(now Time, calls []Lent) {
+	r.now = max(now, r.now)
+	for _, c := range r.lent {
+		r.calls--
+		c.ep.calls--
+		c.ep.dest.calls--
+		c.ep.line.calls, r.out = without(c.ep.line.calls, c), without(r.out, c)
+	}
+	r.lent = r.lent[:0]
+	for _, lent := range calls {
+		ep := r.eps[lent.Endpoint]
+		if ep == nil {
+			continue
+		}
+		c := &call{ep: ep, sentAt: r.now - lent.Age, left: 1, judged: true}
+		r.calls++
+		ep.calls++
+		ep.dest.calls++
+		ep.line.calls, r.out, r.lent = append(ep.line.calls, c), append(r.out, c), append(r.lent, c)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -145,6 +145,7 @@
 	turn            time.Duration     // the first slot: a few attempts fit into the shortest aim
 	atOnce          time.Duration     // a connection that fails within it was refused, not left unanswered
 	out             []*call           // the calls that are out
+	lent            []*call           // of these, the ones of the process before
 	skipped         int               // endpoints that get no usual work
 	steps           int
 	acts            []Action
