Take the first measure of the pace whole, and let a charge find out a return

At fault: Relay.pace is an average over four spans that began at nought, so that it is a quarter of the truth after 2 s and 0.44 of it after 4 s: a relay that is 3 s old passes on a pace with which its queue looks three times as long. The first measure counts whole now (Step).

Seen beside it: where only charges come for a destination that was taken for out, none was ever sent again (Relay.suits), and it stayed out for good. After rateMemory without any call one goes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -130,7 +130,11 @@
 		r.askAt = -1
 	}
 	if span := r.now - r.paceAt; span >= learnSpan {
-		r.pace, r.done, r.paceAt = r.pace+(float64(r.done)/span.Seconds()-r.pace)/paceSpans, 0, r.now
+		rate, spans := float64(r.done)/span.Seconds(), float64(paceSpans)
+		if r.pace == 0 {
+			spans = 1 // Risk: an average that begins at nought makes any queue look too long
+		}
+		r.pace, r.done, r.paceAt = r.pace+(rate-r.pace)/spans, 0, r.now
 		maps.DeleteFunc(r.keys, func(_ string, k *key) bool { return len(k.queue) == 0 && k.quiet <= r.now })
 	}
 	r.shed()
@@ -874,9 +878,11 @@
 	r.spare = r.spare[:0]
 }
 
-// suits keeps unsafe messages from being the trickle into a line that may swallow them.
+// suits keeps unsafe messages from being the trickle into a line that may swallow them. Risk: where no others
+// come for it, nobody finds out that it is back; after a while without any call one of them goes.
 func (r *Relay) suits(m *message, l *line) bool {
-	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || l.hardRun == 0
+	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || l.hardRun == 0 ||
+		r.now-l.claimed > rateMemory
 }
 
 // cap is the line's in-flight share: three quarters of the slots, half while it fails or slows, a quarter
