--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -138,13 +138,18 @@
 	return &Room{Path: f.path(name), Name: name, lock: file}, nil
 }
 
-// Home takes the room that this process writes to. Who holds the baton goes on in the one that was in force; who stands by gets a new one.
+// Home takes the room that this process writes to. Who holds the baton goes on in the one that was in force; who stands by gets an empty one: the state
+// folder itself if it can, so that every second upgrade leaves a folder that a version without rooms can read.
 func (f *Folder) Home(active bool) (*Room, error) {
+	var first []string
 	if active {
-		for _, name := range []string{f.named(), ""} {
-			if r, err := f.Take(name); r != nil || err != nil {
-				return r, err
-			}
+		first = []string{f.named(), ""}
+	} else if len(f.files("")) == 0 {
+		first = []string{""}
+	}
+	for _, name := range first {
+		if r, err := f.Take(name); r != nil || err != nil {
+			return r, err
 		}
 	}
 	all := f.names()
--- a/internal/handover/rooms/rooms_test.go
+++ b/internal/handover/rooms/rooms_test.go
@@ -86,6 +86,10 @@
 	if held, fallen, _ := d.Others(roomD); len(held)+len(fallen) > 0 {
 		t.Errorf("rooms left: %v, %v", held, fallen)
 	}
+	// The folder itself is empty: it is the next one's room.
+	if _, roomE, active := process(t, dir); active || roomE.Path != dir {
+		t.Errorf("beside it: %v, %+v", active, roomE)
+	}
 }
 
 // A state folder without a baton, as an earlier version leaves it, is the first room as it stands.
