Give and inherit in parts that the disk has room for

Seen in the test of a full folder, once it measured during the upgrade: 428,544 bytes of a budget of 300,000 behind the hand-over.

Now a file holds at most an eighth of what is free (handover.Part), four files wait at most, the rest follows as the old room is cleaned; a room of a killed process is taken over in such parts too. Who serves looks once a second at what others take, where it has operators. Test: the folder is measured beside one that stands by, behind the hand-over and at the end, for SIGTERM and SIGKILL; a drain that is reloaded and stopped.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,9 @@
 // besides is what a process that stands by holds, where operators are there to start one.
 const besides = 16
 
+// besidesTurn is between two looks at who stands by.
+const besidesTurn = time.Second
+
 // sockets shares the descriptors out: besides its own files and a connection for each slot, up to a quarter may be idle
 // connections to endpoints and up to half clients' connections. Clients use a third, the rest is for crowds that say
 // nothing. Guards against calls that fail for want of a descriptor, where slots are many.
@@ -109,7 +112,10 @@
 	holder  *plugin.Holder
 	count   *figures.Set
 	loading <-chan plug // plug-ins of a reload
-	stop    func()      // their loading
+
+	inheriting atomic.Bool // the process before is still leaving
+	others     int64       // bytes of the state folder outside the own room, as of the last look
+	stop       func()      // their loading
 }
 
 // Run serves until SIGTERM or SIGINT. SIGHUP makes it read its sources again and go on with what they say. Where another process of
@@ -217,12 +223,24 @@
 			}
 		}
 	}()
+	var look <-chan time.Time // at who stands by; without operators nobody does
+	if c.Admin != "" {
+		turn := time.NewTicker(besidesTurn)
+		defer turn.Stop()
+		look = turn.C
+	}
 	for serving := true; serving; {
 		select {
 		case sig := <-r.signals:
 			if serving = sig == syscall.SIGHUP; serving {
 				r.reload(ctx)
 			}
+		case <-look:
+			// Guards against a disk limit that the journal here and the room of one that stands by go over together.
+			if used := r.folder.Used(r.room); !r.inheriting.Load() && used != r.others {
+				r.others = used
+				r.host.Share(r.disk(), used, true)
+			}
 		case p := <-r.loading:
 			r.loading = nil
 			swap(p, r.holder, log)
@@ -339,6 +357,7 @@
 	}
 	r.log.Info("ready", "name", r.c.Name, "listen", r.c.Listen, "discovery", r.c.Discovery, "slots", r.c.Settings.Slots, "held_most", r.c.Settings.MaxHeld)
 	if leaving {
+		r.inheriting.Store(true)
 		work.Go(heir.follow)
 	}
 	return follow, nil
--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -420,6 +420,12 @@
 
 // An upgrade while the folder is full, with all that is held in it: nothing is lost, nothing new is promised that can't be kept, the budget holds over both.
 func TestUpgradeWithAFullFolder(t *testing.T) {
+	for name, leave := range map[string]func(*standin.Relay) error{"told": (*standin.Relay).Stop, "killed": func(r *standin.Relay) error { r.Kill(); return nil }} {
+		t.Run(name, func(t *testing.T) { upgradeFull(t, leave) })
+	}
+}
+
+func upgradeFull(t *testing.T, leave func(*standin.Relay) error) {
 	const budget = 300_000
 	w, r := world(t, standin.Config{DiskMB: budget / 1e6, Hold: 400, Partners: []standin.PartnerConfig{{Dest: 7}}})
 	w.Partners[7].Set(standin.Refusing, 1)
@@ -438,13 +444,28 @@
 		}
 		refused = res.Outcome == client.Refused
 	}
+	size := func() (n int64) {
+		filepath.WalkDir(r.State, func(_ string, e os.DirEntry, _ error) error {
+			if info, err := e.Info(); err == nil && !e.IsDir() {
+				n += (info.Size() + 511) / 512 * 512
+			}
+			return nil
+		})
+		return n
+	}
 	next, err := r.Beside()
 	if err == nil {
 		err = next.Await("standing by")
 	}
-	if err != nil || r.Stop() != nil || next.Await("msg=ready") != nil {
+	if n := size(); n > budget {
+		t.Errorf("beside one that stands by the folder holds %d bytes", n)
+	}
+	if err != nil || leave(r) != nil || next.Await("msg=ready") != nil {
 		t.Fatalf("%v\n%s", err, next.Log())
 	}
+	if n := size(); n > budget {
+		t.Errorf("after the hand-over the folder holds %d bytes", n)
+	}
 	w.Partners[7].Set(standin.Well, 1)
 	if err := w.Until("all to end", func() bool {
 		did, told := w.Ledger.Count(), w.Platform.Notices()
@@ -460,15 +481,29 @@
 	if d := w.Ledger.Doubles("fee-charge"); len(d) > 0 || len(taken) < 10 || w.Ledger.Len() < len(taken)/2 {
 		t.Errorf("%d taken, %d ran, doubles %v", len(taken), w.Ledger.Len(), d)
 	}
-	size := int64(0)
-	filepath.WalkDir(r.State, func(_ string, e os.DirEntry, _ error) error {
-		if info, err := e.Info(); err == nil && !e.IsDir() {
-			size += (info.Size() + 511) / 512 * 512
+	if n := size(); n > budget {
+		t.Errorf("at the end the folder holds %d bytes", n)
+	}
+	t.Logf("%d held over the upgrade, %d ran, folder %d bytes after it", len(taken), w.Ledger.Len(), size())
+}
+
+// A drain outlasts a reload, and a planned stop during a drain ends with 0; told twice it is one drain.
+func TestDrainThenReloadThenStop(t *testing.T) {
+	_, r := world(t, standin.Config{Partners: partners})
+	for range 2 {
+		if status, _, err := r.Call("PUT", "/healthcheck/fail"); status != 200 {
+			t.Fatalf("%d, %v", status, err)
 		}
-		return nil
-	})
-	if size > budget {
-		t.Errorf("the folder holds %d bytes", size)
 	}
-	t.Logf("%d held over the upgrade, %d ran, folder %d bytes after it", len(taken), w.Ledger.Len(), size)
+	r.Signal(syscall.SIGHUP)
+	if err := r.Await("msg=reloaded"); err != nil {
+		t.Fatal(err)
+	}
+	health, _, _ := r.Call("GET", "/healthcheck")
+	if got := ready(r.Addr); got != 503 || health != 200 {
+		t.Errorf("drained and reloaded: GET /ready %d, health %d", got, health)
+	}
+	if err := r.Stop(); err != nil || r.Logged("msg=stopped") != 1 {
+		t.Errorf("%v\n%s", err, r.Log())
+	}
 }
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -16,7 +16,7 @@
 const (
 	heirTurn  = 10 * time.Millisecond // between two looks at what the process before gives
 	leaveTurn = 5 * time.Millisecond  // of the one that leaves
-	partMost  = 64 << 10              // bytes of bodies that are taken out of a room at once
+	givenMost = 4                     // files that wait in the spool: more would only take room
 )
 
 // heir takes over what other processes of this relay leave. It waits for disks, on a goroutine that nobody waits for.
@@ -67,6 +67,7 @@
 	clients, idle := sockets(h.c)
 	h.host.Idle(idle)
 	h.front.Load().Configure(&h.c.Settings, clients)
+	h.inheriting.Store(false)
 	h.log.Info("the process before has left, all is taken over")
 }
 
@@ -127,7 +128,7 @@
 	for len(all) > 0 {
 		n, size := 0, 0
 		var part []*memory.Message
-		for ; n < len(all) && (n == 0 || size+all[n].Size() <= partMost); n++ {
+		for most := int(handover.Part(h.free())); n < len(all) && (n == 0 || size+all[n].Size() <= most); n++ {
 			m := *all[n] // the other journal has a number of its own for it
 			part, size = append(part, &m), size+m.Size()
 		}
@@ -150,6 +151,9 @@
 	return h.folder.Clear(r)
 }
 
+// free is what is free of the disk, over all processes.
+func (r *relay) free() int64 { return r.c.DiskBytes - r.folder.Used(nil) }
+
 // handOver leaves the relay to a process that stands by, and tells whether there was one that it could be left to.
 func (r *relay) handOver() bool {
 	held, fallen, err := r.folder.Others(r.room)
@@ -162,7 +166,7 @@
 	}
 	began, front := time.Now(), r.front.Load()
 	r.host.Share(r.disk(), r.folder.Used(r.room), false)
-	if r.host.HandOver(r.folder.Give, front.Drained()) != nil {
+	if r.host.HandOver(r.folder.Give, front.Drained(), handover.Part(r.free())) != nil {
 		return false
 	}
 	r.log.Info("handing over", "standing_by", held)
@@ -176,6 +180,9 @@
 	front.Turn(drain.HandOver)
 	facts := handover.Facts{Accepting: true}
 	for {
+		if len(r.folder.Given()) < givenMost {
+			r.host.Give(handover.Part(r.free()))
+		}
 		facts.Since, facts.Clients = time.Since(began), front.Busy()
 		facts.Held, facts.Out, facts.StaysBehind = r.host.Left()
 		facts.Taken = facts.Taken || slices.ContainsFunc(held, func(name string) bool { return r.folder.Said(name) == rooms.Serving })
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -61,6 +61,12 @@
 // of what neither does.
 func Budget(all, mine, others int64) int64 { return mine + max(0, all-mine-others)/2 }
 
+// Part is how much may be taken over at once where so much of the disk is free: it stands in two journals and the spool for a moment, beside the copy
+// that cleaning makes.
+func Part(free int64) int64 { return min(max(0, free)/8, partMost) }
+
+const partMost = 64 << 10
+
 // Times of the process that leaves, from SIGTERM on.
 const (
 	LetGoBy = 450 * time.Millisecond  // without a word of its successor it closes its listener then, as at any planned stop
--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -246,10 +246,10 @@
 	r.lock.Close()
 }
 
-// Used is what all files take that are not in mine.
+// Used is what all files take that are not in mine; all of them where that is nil.
 func (f *Folder) Used(mine *Room) (bytes int64) {
 	for _, name := range append(f.names(), spoolName) {
-		if name == mine.Name {
+		if mine != nil && name == mine.Name {
 			continue
 		}
 		entries, _ := os.ReadDir(f.path(name))
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -148,9 +148,9 @@
 	return 0
 }
 
-// HandOver ends the steps and gives what is not out, with what this process knows, to the one that takes its place; from then on
-// also what it still takes on and what its calls leave undone. Where the first cannot be given, all stays as it was.
-func (h *Host) HandOver(give func([]byte) error, drained bool) (err error) {
+// HandOver ends the steps and gives what is not out, with what this process knows, to the one that takes its place. Files hold bodies of up to room
+// bytes; the rest goes with Give. Where the first file cannot be given, all stays as it was.
+func (h *Host) HandOver(give func([]byte) error, drained bool, room int64) (err error) {
 	h.Do(func(h *Host) {
 		learned := h.relay.Learned(h.now())
 		news := &handover.News{Drained: drained, Learned: &learned, List: &handover.List{Generation: h.generation}}
@@ -161,16 +161,16 @@
 				h.waits = append(h.waits, handover.Wait{Endpoint: ep.id, Dest: ep.dest, Until: time.Unix(0, ep.gate.until.Load())})
 			}
 		}
-		var all []*memory.Message
+		h.left = nil
 		for _, m := range h.table.All() {
-			if all = append(all, m); m.Owed == nil && (m.Out != nil || m.New) {
+			if h.left = append(h.left, m); m.Owed == nil && !mayGive(m) {
 				news.Known = append(news.Known, m.ID)
 			}
 		}
-		slices.SortFunc(all, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
+		slices.SortFunc(h.left, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
 		h.toldOut = -1
-		if err = h.give(give, all, news); err != nil {
-			h.waits = nil
+		if err = h.give(give, news, room); err != nil {
+			h.waits, h.left = nil, nil
 			return
 		}
 		h.giving, h.quiet, h.arrivals, h.pending = give, true, nil, nil
@@ -186,14 +186,37 @@
 	return err
 }
 
+// Give goes on with what is left by now: what did not fit, what was still taken on, what calls have left undone.
+func (h *Host) Give(room int64) {
+	h.Do(func(h *Host) {
+		if h.giving != nil {
+			h.give(h.giving, &handover.News{}, room)
+		}
+	})
+}
+
 // mayGive tells whether m can be given: nothing of it is under way, and its body is at hand.
 func mayGive(m *memory.Message) bool {
 	return m.Out == nil && m.Owed == nil && !m.New && m.Spilled == 0 && (!m.Unkept || m.Body != nil)
 }
 
-// give gives those of msgs that can be, if there is anything to tell.
-func (h *Host) give(to func([]byte) error, msgs []*memory.Message, news *handover.News) error {
-	msgs = slices.DeleteFunc(slices.Clone(msgs), func(m *memory.Message) bool { return h.table.Get(m.Num) != m || !mayGive(m) })
+// giveCost is what a message takes of a file beside its body, as a bound.
+const giveCost = 700
+
+// give gives what is left, as far as it fits, if there is anything to tell. Guards against a folder that holds all of it twice, in the room and in the spool, and goes
+// over its limit.
+func (h *Host) give(to func([]byte) error, news *handover.News, room int64) error {
+	var msgs, rest []*memory.Message
+	for i, m := range h.left {
+		if h.table.Get(m.Num) != m || !mayGive(m) {
+			continue
+		}
+		if room -= int64(m.Size() + giveCost); room < 0 {
+			rest = h.left[i:]
+			break
+		}
+		msgs = append(msgs, m)
+	}
 	if len(msgs) == 0 && len(h.waits) == 0 && len(h.calls) == h.toldOut {
 		return nil
 	}
@@ -205,7 +228,7 @@
 		h.log.Error("not given to the process that takes over: it stays in the room", "messages", len(msgs), "err", err)
 		return err
 	}
-	h.waits, h.toldOut = nil, len(h.calls)
+	h.waits, h.toldOut, h.left = nil, len(h.calls), rest
 	for _, m := range msgs {
 		// Its id is not kept as over: it is not.
 		h.end(m, true)
@@ -214,19 +237,12 @@
 	return nil
 }
 
-// giveTurn gives what this turn has left.
-func (h *Host) giveTurn() {
-	msgs := h.arrivals
-	h.arrivals = nil
-	h.give(h.giving, msgs, &handover.News{})
-}
-
 // Left counts what a process that leaves still owes something for, its calls out, and the messages that can only be taken over with
 // its room.
 func (h *Host) Left() (held, out, behind int) {
 	h.Do(func(h *Host) {
 		for _, m := range h.table.All() {
-			if m.Owed == nil && m.Out == nil && !m.New {
+			if m.Owed == nil && m.Out == nil && !m.New && !mayGive(m) {
 				behind++
 			}
 		}
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -98,7 +98,7 @@
 	w.until("the call", func() bool { return len(w.calls) == 1 })
 	w.host.Do(func(h *Host) { h.endpoints["s-1"].gate.hold(time.Minute); h.relay.Wait(h.now(), "s-1", time.Minute) })
 	w.client(hand("alert", "held", "", "b", 4000))
-	if err := w.host.HandOver(give, true); err != nil {
+	if err := w.host.HandOver(give, true, 1<<20); err != nil {
 		t.Fatal(err)
 	}
 	mu.Lock()
@@ -111,7 +111,18 @@
 		t.Errorf("still taken on: %d", got)
 	}
 	close(release)
-	waitFor(t, "the rest", func() bool { mu.Lock(); defer mu.Unlock(); return len(given) == 3 && len(news[len(news)-1].Out) == 0 })
+	w.host.Give(giveCost) // no room for its body: it waits
+	mu.Lock()
+	if len(given) != 1 {
+		t.Errorf("given into no room: %v", given)
+	}
+	mu.Unlock()
+	waitFor(t, "the rest", func() bool {
+		w.host.Give(1 << 20)
+		mu.Lock()
+		defer mu.Unlock()
+		return len(given) == 3 && len(news[len(news)-1].Out) == 0
+	})
 	w.empty()
 	mu.Lock()
 	defer mu.Unlock()
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -75,6 +75,7 @@
 	holdTil   policy.Time            // and the first of a module that starts anew for the end of told waits
 	standby   bool                   // another process of this relay makes the steps
 	giving    func([]byte) error     // another process takes this one's place: what is not out goes there
+	left      []*memory.Message      // that are still to be given
 	waits     []handover.Wait        // that the other process has yet to hear of, or this one's module
 	toldOut   int                    // calls out as it was told last
 	lent      []policy.Lent          // calls that the process before still has out
@@ -263,7 +264,7 @@
 			h.pending = nil // Activate tells the module all
 		}
 		if h.giving != nil {
-			h.giveTurn()
+			h.left, h.arrivals = append(h.left, h.arrivals...), nil
 		}
 		now := h.now()
 		h.expire(now)
