End idle connections sooner where clients open a new one for each message

Counted at the front socket each half second: each message comes on a connection of its own, and the old ones stay; 55 to 75 hand-ins until 127 or 128 stand idle, 12 to 40 from then on, and as many connections are closed by clients as they open: they are at the most that they may hold. When messages come on kept ones again, all arrive.

At fault: keepLimit, 6 s for each idle connection whatever clients do with it. Ruled out earlier: descriptors, silent ones, who gives way, the accept loop, listen queues.

internal/admission decides now: 6 s, but 0.5 s where an eighth of the connections stand idle and of late more requests came first on their connection than later. Usual clients, who come back to what they have, see no change.

--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"oatfold/internal/admission"
 	"oatfold/internal/drain"
 	"oatfold/internal/figures"
 	"oatfold/internal/memory"
@@ -28,7 +29,6 @@
 	crowdLimit  = 300 * time.Millisecond  // the same, while connections are short
 	crowdSpan   = 2 * time.Second         // for so long after one had to give way
 	roomTurn    = 20 * time.Millisecond   // between two looks for one that can give way
-	keepLimit   = 6 * time.Second         // for the next request on a kept connection
 	readLimit   = 2400 * time.Millisecond // for a request, from its first byte on; the first: from connecting on
 	writeLimit  = 600 * time.Millisecond  // for an answer
 	crossLimit  = 30 * time.Millisecond   // for a request that crosses the end of a connection
@@ -56,6 +56,8 @@
 	began    time.Time
 	shut     bool // Drain was called
 	most     int  // connections at once
+	idle     int  // of these, between requests
+	keep     admission.Keep
 	conns    map[*frontConn]struct{}
 	crowdTil time.Time
 	last     uint32 // number of the last connection
@@ -288,12 +290,31 @@
 	return len(f.conns)
 }
 
-func (f *Front) enter(c *frontConn, s frontState) {
+// begin books that a request has begun.
+func (f *Front) begin(c *frontConn) {
 	f.mu.Lock()
-	c.state, c.since = s, time.Now()
+	f.keep.Came(c.state == frontNew, time.Since(f.began))
+	f.enter(c, frontBusy)
 	f.mu.Unlock()
-	if s == frontIdle {
-		f.tell()
+}
+
+// rest books that c is between requests, and returns when it is closed.
+func (f *Front) rest(c *frontConn) time.Time {
+	f.mu.Lock()
+	f.enter(c, frontIdle)
+	until := c.since.Add(f.keep.For(f.idle, f.most))
+	f.mu.Unlock()
+	f.tell()
+	return until
+}
+
+// enter is called with mu held.
+func (f *Front) enter(c *frontConn, s frontState) {
+	if c.state == frontIdle {
+		f.idle--
+	}
+	if c.state, c.since = s, time.Now(); s == frontIdle {
+		f.idle++
 	}
 }
 
@@ -306,6 +327,9 @@
 		c.sock.Close()
 		f.mu.Lock()
 		delete(f.conns, c)
+		if c.state == frontIdle {
+			f.idle--
+		}
 		f.trace.note(c.no, traceClose, int64(c.state), time.Since(c.since).Microseconds())
 		f.mu.Unlock()
 		f.tell()
@@ -317,7 +341,7 @@
 		}
 		// Guards against closing an idle connection on which a request has just come in: it is answered.
 		f.trace.note(c.no, traceFirst, time.Since(c.since).Microseconds(), 0)
-		f.enter(c, frontBusy)
+		f.begin(c)
 		now := time.Now()
 		readBy := now.Add(readLimit)
 		if first {
@@ -326,8 +350,7 @@
 		if c.sock.SetReadDeadline(readBy); !f.one(traced{c.sock, f, c.no, now}, r, now) {
 			return
 		}
-		f.enter(c, frontIdle)
-		if c.sock.SetReadDeadline(time.Now().Add(keepLimit)); f.view.Load().Idle {
+		if c.sock.SetReadDeadline(f.rest(c)); f.view.Load().Idle {
 			// Guards against a drain that looked at this connection while it was busy. Its last answer did not say that it closes: the next request
 			// may be on the way.
 			c.sock.SetReadDeadline(time.Now().Add(crossLimit))
--- a/internal/wire/front_test.go
+++ b/internal/wire/front_test.go
@@ -353,6 +353,33 @@
 	host.Unlock()
 }
 
+// Clients that open a connection for each request and leave the old ones open don't keep all of them: the first few stay.
+func TestIdleOnesOfThoseWhoDoNotComeBackEndSoon(t *testing.T) {
+	_, _, ln := startFront(t, 4, 16) // two may stand idle for long in any case
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	ask := func(c net.Conn, r *bufio.Reader) {
+		t.Helper()
+		io.WriteString(c, "GET /ready HTTP/1.1\r\n\r\n")
+		if res, err := http.ReadResponse(r, nil); err != nil || res.Close {
+			t.Fatalf("%v, %v", res, err)
+		}
+	}
+	for range 6 {
+		c, r := dial(t, ln)
+		ask(c, r)
+		conns, readers = append(conns, c), append(readers, r)
+	}
+	for _, r := range readers[2:] {
+		if _, err := r.ReadByte(); err != io.EOF {
+			t.Fatalf("still open: %v", err)
+		}
+	}
+	for i := range 2 {
+		ask(conns[i], readers[i])
+	}
+}
+
 // A drain is told at once on each answer, idle and silent connections go, who still comes is served, and ok ends it.
 func TestDrainAndBack(t *testing.T) {
 	front, host, ln := startFront(t, 4, 10)
