Give a message once where the first file of a hand-over has no room

Seen on reading the change again: Host.HandOver queued all messages, also those whose call was out; where the first file had no room the queue stayed, and a call that ended then queued its message once more.

Only what may be given is queued; the rest comes by itself as it becomes free. Test: TestGivenOnceWhereRoomIsShort.

--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -163,7 +163,10 @@
 		}
 		h.left = nil
 		for _, m := range h.table.All() {
-			if h.left = append(h.left, m); m.Owed == nil && !mayGive(m) {
+			if mayGive(m) {
+				h.left = append(h.left, m)
+			} else if m.Owed == nil {
+				// Guards against giving it twice in one file, which nobody could read: it comes by itself once it may be given.
 				news.Known = append(news.Known, m.ID)
 			}
 		}
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -195,3 +195,37 @@
 		t.Errorf("with none: %v", to)
 	}
 }
+
+// Where the first file has no room, what is out then and ends meanwhile is given once: a file that names a message twice can't be read.
+func TestGivenOnceWhereRoomIsShort(t *testing.T) {
+	release := make(chan struct{})
+	w := startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) { <-release; rw.WriteHeader(500) })
+	ids := map[string]int{}
+	give := func(b []byte) error {
+		msgs, _, err := journal.Given(b)
+		for _, m := range msgs {
+			ids[m.ID]++ // on the host's goroutine
+		}
+		return err
+	}
+	w.client(hand("order", "out", "Idempotency-Key: k\r\n", "b", 9000))
+	w.until("the call", func() bool { return len(w.calls) == 1 })
+	w.host.Do(func(h *Host) { h.endpoints["s-1"].gate.hold(time.Minute); h.relay.Wait(h.now(), "s-1", time.Minute) })
+	w.client(hand("alert", "held", "", "b", 4000))
+	waitFor(t, "the host to hear that its client was told", func() (told bool) {
+		w.host.Do(func(h *Host) { m := h.table.ByID("held"); told = m != nil && !m.New })
+		return told
+	})
+	if err := w.host.HandOver(give, false, 0); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	waitFor(t, "the call's end", func() (ended bool) { w.host.Do(func(h *Host) { ended = len(h.calls) == 0 }); return ended })
+	w.host.Give(1 << 20)
+	w.empty()
+	w.host.Do(func(*Host) {
+		if len(ids) != 2 || ids["out"] != 1 || ids["held"] != 1 {
+			t.Errorf("given %v", ids)
+		}
+	})
+}
