Add assignment of destinations to relays, pacing, sequence and keepalive packages

Need: 16,000 relays cannot all know 2.1 million destinations, and pacing and order over an upgrade stood inside large files. Change: internal/assignment (planner, register, signed slices, follower, handover; off), internal/lab/region plays it in virtual time, internal/pacing, internal/keepalive and internal/handover/sequence are packages without I/O.

--- /dev/null
+++ b/internal/assignment/codec.go
@@ -0,0 +1,230 @@
+package assignment
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Errors of an encoded map or slice that is refused.
+var (
+	ErrTorn   = errors.New("assignment: cut short, or too long")
+	ErrForged = errors.New("assignment: not signed with this region's key")
+	ErrFormat = errors.New("assignment: not a map or slice of this format")
+)
+
+// Key signs what control machines publish. All control machines and relays of a
+// region have the same.
+type Key []byte
+
+// Sizes of what is encoded, in bytes.
+const (
+	signatureSize = sha256.Size
+	headerSize    = 32
+	servingSize   = 2 // of a partition's number, before its replicas
+	relaySize     = 2
+)
+
+const (
+	magic       = "OFAS"
+	format      = 1
+	kindMap     = 'M'
+	kindSlice   = 'S'
+	kindConfirm = 'C'
+	noRelay     = 0xffff // in the header of a map
+	maxEncoded  = headerSize + MaxPartitions*(servingSize+2*MaxReplicas*relaySize) + signatureSize
+	entriesAt   = 28 // in the header
+	replicaAt   = 7
+	regionAt    = 6
+	formatAt    = 4
+	kindAt      = 5
+	termAt      = 8
+	numberAt    = 16
+	relayAt     = 24
+	partitionAt = 26
+)
+
+// header is what maps and slices begin with.
+type header struct {
+	kind       byte
+	region     uint8
+	replicas   int
+	version    Version
+	relay      Relay
+	partitions int // of the whole map
+	entries    int // partitions that follow
+}
+
+// Encode returns the map, signed. It takes 64 + 4 x partitions x replicas bytes.
+func (m *Map) Encode(key Key) []byte {
+	b := header{kindMap, m.Region, m.Replication, m.Version, noRelay, m.Partitions(), m.Partitions()}.append(nil)
+	b = appendRelays(b, m.replicas)
+	return sign(appendRelays(b, m.previous), key)
+}
+
+// Encode returns the slice, signed. It takes 64 bytes, and 2 + 4 x replicas for
+// each partition that concerns the relay.
+func (s *Slice) Encode(key Key) []byte {
+	b := header{kindSlice, s.Region, s.Replication, s.Version, s.Relay, s.Partitions, len(s.Serving)}.append(nil)
+	for _, serving := range s.Serving {
+		b = binary.BigEndian.AppendUint16(b, uint16(serving.Partition))
+		b = appendRelays(b, serving.Replicas)
+		b = appendRelays(b, serving.Previous)
+	}
+	return sign(b, key)
+}
+
+func appendRelays(b []byte, relays []Relay) []byte {
+	for _, r := range relays {
+		b = binary.BigEndian.AppendUint16(b, uint16(r))
+	}
+	return b
+}
+
+func readRelays(b []byte) []Relay {
+	relays := make([]Relay, 0, len(b)/relaySize)
+	for ; len(b) >= relaySize; b = b[relaySize:] {
+		relays = append(relays, Relay(binary.BigEndian.Uint16(b)))
+	}
+	return relays
+}
+
+// confirmation says that a relay's slice is the same in the map of a version.
+func confirmation(region uint8, version Version, relay Relay, partitions int, key Key) []byte {
+	return sign(header{kindConfirm, region, 0, version, relay, partitions, 0}.append(nil), key)
+}
+
+// DecodeMap returns a map that Encode made with the same key. Its errors wrap
+// ErrTorn, ErrForged or ErrFormat.
+func DecodeMap(b []byte, key Key) (*Map, error) {
+	h, body, err := open(b, key, kindMap)
+	if err != nil {
+		return nil, err
+	}
+	half := h.entries * h.replicas * relaySize
+	if h.entries != h.partitions || len(body) != 2*half {
+		return nil, fmt.Errorf("%w: %d bytes of %d partitions", ErrTorn, len(body), h.entries)
+	}
+	m := &Map{Region: h.region, Version: h.version, Replication: h.replicas, replicas: readRelays(body[:half]), previous: readRelays(body[half:])}
+	for p := range m.Partitions() {
+		if err := errors.Join(ascending(m.Replicas(Partition(p))), ascending(m.Previous(Partition(p)))); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// DecodeSlice returns a slice that Encode made with the same key. Its errors wrap
+// ErrTorn, ErrForged or ErrFormat.
+func DecodeSlice(b []byte, key Key) (*Slice, error) {
+	h, body, err := open(b, key, kindSlice)
+	if err != nil {
+		return nil, err
+	}
+	return decodeSlice(h, body)
+}
+
+func decodeSlice(h header, body []byte) (*Slice, error) {
+	half := h.replicas * relaySize
+	size := servingSize + 2*half
+	if len(body) != h.entries*size {
+		return nil, fmt.Errorf("%w: %d bytes of %d partitions", ErrTorn, len(body), h.entries)
+	}
+	s := &Slice{Region: h.region, Version: h.version, Relay: h.relay, Partitions: h.partitions, Replication: h.replicas}
+	for ; len(body) > 0; body = body[size:] {
+		serving := Serving{
+			Partition: Partition(binary.BigEndian.Uint16(body)),
+			Replicas:  readRelays(body[servingSize : servingSize+half]),
+			Previous:  readRelays(body[servingSize+half : size]),
+		}
+		if err := s.checkServing(serving); err != nil {
+			return nil, err
+		}
+		s.Serving = append(s.Serving, serving)
+	}
+	return s, nil
+}
+
+// checkServing tells whether a partition may follow those that the slice has.
+func (s *Slice) checkServing(next Serving) error {
+	if int(next.Partition) >= s.Partitions {
+		return fmt.Errorf("%w: partition %d of %d", ErrFormat, next.Partition, s.Partitions)
+	}
+	if n := len(s.Serving); n > 0 && s.Serving[n-1].Partition >= next.Partition {
+		return fmt.Errorf("%w: partition %d behind %d", ErrFormat, next.Partition, s.Serving[n-1].Partition)
+	}
+	if !slices.Contains(next.Replicas, s.Relay) && !slices.Contains(next.Previous, s.Relay) {
+		return fmt.Errorf("%w: partition %d is not relay %d's", ErrFormat, next.Partition, s.Relay)
+	}
+	return errors.Join(ascending(next.Replicas), ascending(next.Previous))
+}
+
+// ascending tells whether no relay is named twice, and all may exist.
+func ascending(replicas []Relay) error {
+	for i, r := range replicas {
+		if r >= MaxRelays || i > 0 && replicas[i-1] >= r {
+			return fmt.Errorf("%w: replicas %v", ErrFormat, replicas)
+		}
+	}
+	return nil
+}
+
+func (h header) append(b []byte) []byte {
+	b = append(b, magic...)
+	b = append(b, format, h.kind, h.region, uint8(h.replicas))
+	b = binary.BigEndian.AppendUint64(b, h.version.Term)
+	b = binary.BigEndian.AppendUint64(b, h.version.Number)
+	b = binary.BigEndian.AppendUint16(b, uint16(h.relay))
+	b = binary.BigEndian.AppendUint16(b, uint16(h.partitions))
+	return binary.BigEndian.AppendUint32(b, uint32(h.entries))
+}
+
+// open checks signature and header of what has one of the kinds, and returns what
+// is between the two.
+func open(b []byte, key Key, kinds ...byte) (h header, body []byte, err error) {
+	if len(b) < headerSize+signatureSize || len(b) > maxEncoded {
+		return h, nil, fmt.Errorf("%w: %d bytes", ErrTorn, len(b))
+	}
+	if !bytes.HasPrefix(b, []byte(magic)) || b[formatAt] != format || !slices.Contains(kinds, b[kindAt]) {
+		return h, nil, ErrFormat
+	}
+	h = header{
+		kind: b[kindAt], region: b[regionAt], replicas: int(b[replicaAt]),
+		version:    Version{binary.BigEndian.Uint64(b[termAt:]), binary.BigEndian.Uint64(b[numberAt:])},
+		relay:      Relay(binary.BigEndian.Uint16(b[relayAt:])),
+		partitions: int(binary.BigEndian.Uint16(b[partitionAt:])),
+		entries:    int(binary.BigEndian.Uint32(b[entriesAt:])),
+	}
+	if want := h.size(); len(b) != want {
+		return h, nil, fmt.Errorf("%w: %d bytes, %d wanted", ErrTorn, len(b), want)
+	}
+	body = b[headerSize : len(b)-signatureSize]
+	if !hmac.Equal(signature(b[:len(b)-signatureSize], key), b[len(b)-signatureSize:]) {
+		return h, nil, ErrForged
+	}
+	if h.partitions < 1 || h.partitions > MaxPartitions || h.entries > h.partitions || h.replicas > MaxReplicas {
+		return h, nil, fmt.Errorf("%w: %d partitions, %d replicas", ErrFormat, h.partitions, h.replicas)
+	}
+	return h, body, nil
+}
+
+// size is how long what the header begins has to be.
+func (h header) size() int {
+	entry := 2 * h.replicas * relaySize
+	if h.kind == kindSlice {
+		entry += servingSize
+	}
+	return headerSize + h.entries*entry + signatureSize
+}
+
+func sign(b []byte, key Key) []byte { return append(b, signature(b, key)...) }
+
+func signature(b []byte, key Key) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(b)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/assignment/control.go
@@ -0,0 +1,170 @@
+package assignment
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// planEvery is how often the publisher looks whether the map has to change.
+	planEvery = 500 * time.Millisecond
+	// reportEvery is how often a control machine tells the publisher which relays
+	// have asked it: every relay is in some report at least once in awayAfter.
+	reportEvery = time.Second
+	// settleAfter is how long a partition does not change again: all that its former
+	// replicas held has been delivered by then, or is out of time.
+	settleAfter = goneAfter
+)
+
+// Heard tells the publisher which relays have asked another control machine since
+// its last report: a bit for each relay.
+type Heard struct{ Relays []uint64 }
+
+func (Heard) message() {}
+
+// Control is a control machine of a region: it takes part in publishing maps, and
+// answers relays. It is not safe for concurrent use.
+type Control struct {
+	register  *Register
+	directory *Directory
+	shape     Shape
+	places    []Member
+	health    *Health // while it publishes
+	states    []Member
+	heard     []uint64
+	changedAt []time.Duration // by partition, while it publishes
+	planAt    time.Duration
+	reportAt  time.Duration
+}
+
+// NewControl makes a control machine from its part of the register. The member at
+// index i of places is the zone and rack of relay i.
+func NewControl(register *Register, shape Shape, places []Member, key Key) *Control {
+	c := &Control{register: register, directory: NewDirectory(key), shape: shape, places: places, heard: make([]uint64, (len(places)+63)/64)}
+	c.directory.Publish(register.Published())
+	return c
+}
+
+// Register returns its part of the register, whose Durable has to be on disk
+// before what Tick and Receive return is sent.
+func (c *Control) Register() *Register { return c.register }
+
+// Answer answers a relay, as Directory.Answer does.
+func (c *Control) Answer(now time.Duration, a Ask) ([]byte, error) {
+	if int(a.Relay) < len(c.places) {
+		c.heard[a.Relay/64] |= 1 << (a.Relay % 64)
+		if c.health != nil {
+			c.health.Heard(a.Relay, now)
+		}
+	}
+	return c.directory.Answer(a)
+}
+
+// Receive takes in a message of another control machine and returns what to send.
+func (c *Control) Receive(now time.Duration, from int, m Message) []Envelope {
+	if report, ok := m.(Heard); ok {
+		c.reported(now, report)
+		return nil
+	}
+	out := c.register.Receive(now, from, m)
+	c.directory.Publish(c.register.Published())
+	return out
+}
+
+// reported takes in which relays another machine has heard of.
+func (c *Control) reported(now time.Duration, report Heard) {
+	if c.health == nil {
+		return
+	}
+	for i, word := range report.Relays {
+		for bit := range 64 {
+			if word>>bit&1 != 0 && i*64+bit < len(c.places) {
+				c.health.Heard(Relay(i*64+bit), now)
+			}
+		}
+	}
+}
+
+// Tick takes the time and returns what to send.
+func (c *Control) Tick(now time.Duration) []Envelope {
+	out := c.register.Tick(now)
+	if c.register.Publishing() {
+		out = append(out, c.plan(now)...)
+	} else if c.register.Publisher() != c.register.me {
+		c.health = nil
+		out = append(out, c.report(now)...)
+	}
+	c.directory.Publish(c.register.Published())
+	return out
+}
+
+// report tells the publisher who has asked.
+func (c *Control) report(now time.Duration) []Envelope {
+	to := c.register.Publisher()
+	if to < 0 || now < c.reportAt {
+		return nil
+	}
+	c.reportAt = now + reportEvery
+	report := Heard{slices.Clone(c.heard)}
+	clear(c.heard)
+	return []Envelope{{to, report}}
+}
+
+// plan proposes another map where that has to change.
+func (c *Control) plan(now time.Duration) []Envelope {
+	if now < c.planAt {
+		return nil
+	}
+	c.planAt = now + planEvery
+	latest := c.register.Latest()
+	if c.health == nil {
+		c.begin(now, latest)
+		if latest == nil { // Risk: the first map without those that have not asked yet
+			c.planAt = now + awayAfter
+			return nil
+		}
+	}
+	members := c.health.Members(now)
+	settling := latest != nil && c.settling(now, latest)
+	if !settling && c.states != nil && slices.Equal(members, c.states) {
+		return nil
+	}
+	next, err := Plan(c.shape, latest, members, func(p Partition) bool { return now >= c.changedAt[p]+settleAfter })
+	if err != nil {
+		return nil // too few serve: the last map stays in force
+	}
+	c.states = members
+	if latest != nil && next.same(latest) {
+		return nil
+	}
+	for p := range c.changedAt {
+		if latest != nil && !slices.Equal(next.Replicas(Partition(p)), latest.Replicas(Partition(p))) {
+			c.changedAt[p] = now
+		}
+	}
+	out, _ := c.register.Propose(now, next)
+	return out
+}
+
+// begin takes up planning: this machine has just become the publisher. When what
+// is not settled has changed it does not know, so it counts from now.
+func (c *Control) begin(now time.Duration, latest *Map) {
+	c.health, c.states = NewHealth(c.places, latest, now), nil
+	c.changedAt = make([]time.Duration, c.shape.Partitions)
+	for p := range c.changedAt {
+		c.changedAt[p] = -settleAfter
+		if latest != nil && !latest.Settled(Partition(p)) {
+			c.changedAt[p] = now
+		}
+	}
+}
+
+// settling tells whether a change that the map shows has got settled.
+func (c *Control) settling(now time.Duration, latest *Map) bool {
+	for p, at := range c.changedAt {
+		if now >= at+settleAfter && !latest.Settled(Partition(p)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/assignment/health.go
@@ -0,0 +1,77 @@
+package assignment
+
+import "time"
+
+const (
+	awayAfter = 10 * PullEvery
+	// goneAfter is how long a relay is away before its replicas are given to
+	// others: a restart is over by then, and moves nothing.
+	goneAfter = time.Minute
+	// A zone of which more than one relay in lostShare is away is lost or cut off
+	// as a whole: its replicas stay, the other zones serve meanwhile.
+	lostShare = 8
+)
+
+// Health follows which relays of a region ask for their slices. It is not safe for
+// concurrent use.
+type Health struct {
+	places  []Member // zone and rack of each relay; their states are not used
+	heardAt []time.Duration
+	gone    []bool
+	lostAt  [1 << 8]time.Duration // by zone: when it was lost as a whole last
+}
+
+// NewHealth makes one for relays at the given places. Those that serve in the
+// latest map count as heard at now, the others as gone until they are heard.
+func NewHealth(places []Member, latest *Map, now time.Duration) *Health {
+	h := &Health{places: places, heardAt: make([]time.Duration, len(places)), gone: make([]bool, len(places))}
+	for i := range h.heardAt {
+		h.heardAt[i], h.gone[i] = now, true
+	}
+	if latest != nil {
+		for _, r := range latest.replicas {
+			if int(r) < len(h.gone) {
+				h.gone[r] = false
+			}
+		}
+	}
+	return h
+}
+
+// Heard books that a relay was heard of at a time. Numbers of no relay are ignored.
+func (h *Health) Heard(r Relay, at time.Duration) {
+	if int(r) < len(h.heardAt) && at >= h.heardAt[r] {
+		h.heardAt[r], h.gone[r] = at, false
+	}
+}
+
+// Members returns what each relay is taken for at now.
+func (h *Health) Members(now time.Duration) []Member {
+	members := make([]Member, len(h.places))
+	var size, away [1 << 8]int // by zone
+	for i, place := range h.places {
+		members[i] = Member{State: Live, Zone: place.Zone, Rack: place.Rack}
+		switch {
+		case h.gone[i]:
+			members[i].State = Gone
+			continue
+		case now-h.heardAt[i] >= awayAfter:
+			members[i].State = Away
+			away[place.Zone]++
+		}
+		size[place.Zone]++
+	}
+	for zone := range h.lostAt {
+		if away[zone] > 1 && away[zone]*lostShare > size[zone] {
+			h.lostAt[zone] = now
+		}
+	}
+	for i := range members {
+		// Risk: the last ones of a zone that returns are taken for gone, for they are away longest.
+		since := max(h.heardAt[i], h.lostAt[members[i].Zone])
+		if members[i].State == Away && now-since >= goneAfter {
+			members[i].State, h.gone[i] = Gone, true
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/internal/lab/region/region_test.go
@@ -0,0 +1,338 @@
+package region
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"oatfold/internal/assignment"
+)
+
+// quarter is a region of the size that the operators expect, with a tenth of all datagrams lost.
+func quarter(number uint8) Config {
+	return Config{Seed: 1, Number: number, Relays: 4000, Controls: 9, Zones: 2, RackSize: 40,
+		Partitions: assignment.DefaultPartitions, Replicas: assignment.DefaultReplicas, Loss: 0.1}
+}
+
+// anywhere runs a test in one region, one at a time: tests with real processes run beside this package. The others share nothing with it: the command plays all four, of 16,000 relays.
+func anywhere(t *testing.T, test func(t *testing.T, w *World)) {
+	t.Helper()
+	w := settled(t, quarter(2))
+	test(t, w)
+	if len(w.Conflicts) > 0 {
+		t.Errorf("maps that contradict each other: %v", w.Conflicts)
+	}
+}
+
+// settled starts a region and plays until all relays hold what the published map says.
+func settled(t *testing.T, c Config) *World {
+	t.Helper()
+	w, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.settle(t, time.Minute)
+	return w
+}
+
+// settle plays until all relays that are up hold what the published map says.
+func (w *World) settle(t *testing.T, most time.Duration) {
+	t.Helper()
+	if _, ok := w.RunUntil(w.Now+most, time.Second, func() bool {
+		m := w.Published()
+		return m != nil && len(w.Outdated(m)) == 0
+	}); !ok {
+		t.Fatalf("not settled at %v: %+v, publisher %d", w.Now, w.Covered(), w.Publisher())
+	}
+}
+
+// watch plays for a while and looks every 250 ms how partitions are served.
+func (w *World) watch(span time.Duration, look func(Cover)) {
+	for end := w.Now + span; w.Now < end; {
+		w.Run(w.Now + 250*time.Millisecond)
+		look(w.Covered())
+	}
+}
+
+// A relay or a rack that goes for good and comes back moves its share each time, at most twice that, and every destination
+// is served in both zones all the time.
+func TestRelayAndRackGoAndReturn(t *testing.T) {
+	for name, lost := range map[string]func(w *World) []int{
+		"relay": func(w *World) []int { return []int{1234} },
+		"rack":  func(w *World) []int { return w.Rack(17) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			anywhere(t, func(t *testing.T, w *World) {
+				relays := lost(w)
+				share := float64(len(relays)) / float64(w.Config.Relays)
+				all := float64(w.Config.Partitions * w.Config.Replicas)
+				inBoth := func(c Cover) {
+					if c.NoZone+c.OneZone > 0 {
+						t.Fatalf("at %v %+v", w.Now, c)
+					}
+				}
+				before := w.Published()
+				w.StopAll(relays)
+				w.watch(80*time.Second, inBoth)
+				gone := w.Published()
+				if moved := float64(gone.Moved(before)) / all; moved == 0 || moved > 2*share {
+					t.Errorf("%.4f of replicas moved, %.4f of relays went", moved, share)
+				}
+				w.StartAll(relays)
+				w.watch(20*time.Second, inBoth)
+				back := w.Published()
+				if moved := float64(back.Moved(gone)) / all; moved == 0 || moved > 2*share {
+					t.Errorf("%.4f of replicas moved, %.4f of relays came back", moved, share)
+				}
+				if n := len(w.Outdated(back)); n > 0 {
+					t.Errorf("%d relays hold something else than the last map", n)
+				}
+			})
+		})
+	}
+}
+
+// A restart, of one relay or of 300 at once, moves nothing.
+func TestRestartMovesNothing(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		before := w.Published()
+		for i := range 300 {
+			w.StopRelay(i * 13)
+		}
+		w.Run(w.Now + 40*time.Second)
+		for i := range 300 {
+			w.StartRelay(i * 13)
+		}
+		w.Run(w.Now + 80*time.Second)
+		if after := w.Published(); after.Version != before.Version {
+			t.Errorf("map %v became %v: %d replicas moved", before.Version, after.Version, after.Moved(before))
+		}
+	})
+}
+
+// A zone that goes for minutes and returns moves nothing. Meanwhile every destination is served in the other zone alone, and
+// in both again as soon as the zone is back: its relays have what they need on disk.
+func TestZoneGoesAndReturns(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		before := w.Published()
+		lost := w.Zone(1)
+		w.StopAll(lost)
+		w.watch(150*time.Second, func(c Cover) {
+			if c.NoZone > 0 || c.OneZone != c.Partitions {
+				t.Fatalf("at %v %+v", w.Now, c)
+			}
+		})
+		w.StartAll(lost)
+		if c := w.Covered(); c.NoZone+c.OneZone > 0 {
+			t.Errorf("as the zone is back: %+v", c)
+		}
+		w.Run(w.Now + 30*time.Second)
+		if after := w.Published(); after.Moved(before) > 0 {
+			t.Errorf("%d replicas moved", after.Moved(before))
+		}
+	})
+}
+
+// A change is in force at 999 of 1,000 relays that it concerns within 3 s, with a tenth of all datagrams lost.
+func TestChangeInForceWithin3s(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		w.StopAll(w.Rack(40))
+		w.Run(w.Now + 55*time.Second)
+		w.inForceIn3s(t)
+	})
+}
+
+// inForceIn3s plays for 20 s, in which maps change, and looks how long that takes to be in force.
+func (w *World) inForceIn3s(t *testing.T) {
+	t.Helper()
+	delays := w.ChangeDelays(20*time.Second, 50*time.Millisecond, func() {})
+	late := 0
+	for _, d := range delays {
+		if d > 3*time.Second {
+			late++
+		}
+	}
+	if len(delays) < 100 || late*1000 > len(delays) {
+		t.Errorf("not in force at %d of %d relays after 3 s, the last one after %v", late, len(delays), slices.Max(delays))
+	}
+}
+
+// With three control machines dead, the publisher among them, maps change as before.
+func TestThreeControlsDead(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		first := w.Publisher()
+		for i := range 3 {
+			w.StopControl((first + i) % w.Config.Controls)
+		}
+		before := w.Published()
+		w.StopAll(w.Rack(3))
+		w.Run(w.Now + 55*time.Second)
+		w.inForceIn3s(t)
+		if after := w.Published(); after.Moved(before) == 0 || len(w.Outdated(after)) > 0 {
+			t.Errorf("%d replicas moved, %d relays hold something else; publisher %d", after.Moved(before), len(w.Outdated(after)), w.Publisher())
+		}
+	})
+}
+
+// With all control machines dead for ten minutes everyone goes on by the last map, those that are restarted meanwhile too.
+// Afterwards nothing has to move.
+func TestAllControlsDead(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		before := w.Published()
+		for i := range w.Controls {
+			w.StopControl(i)
+		}
+		for i := range 500 {
+			w.StopRelay(i * 8)
+			w.StartRelay(i * 8)
+		}
+		w.watch(10*time.Minute, func(c Cover) {
+			if c.NoZone+c.OneZone > 0 {
+				t.Fatalf("at %v %+v", w.Now, c)
+			}
+		})
+		if !w.Relays[0].Follower.Silent(w.Now) {
+			t.Error("no relay says that control is silent")
+		}
+		for i := range w.Controls {
+			if err := w.StartControl(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.Run(w.Now + 90*time.Second)
+		if after := w.Published(); after.Moved(before) > 0 || len(w.Outdated(after)) > 0 {
+			t.Errorf("%d replicas moved, %d relays hold something else", after.Moved(before), len(w.Outdated(after)))
+		}
+		if w.Relays[0].Follower.Silent(w.Now) {
+			t.Error("control is back, and a relay takes it for silent")
+		}
+	})
+}
+
+// A publisher that is cut off with three others goes on proposing and publishes nothing, while the five others have another
+// publisher; joined again, all go on from its maps.
+func TestTwoPublishers(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		first := w.Publisher()
+		side := func(i int) bool { return (i-first+w.Config.Controls)%w.Config.Controls < 4 }
+		cut := func(on bool) {
+			for a := range w.Controls {
+				for b := range w.Controls {
+					if side(a) && !side(b) {
+						w.CutControls(a, b, on)
+					}
+				}
+			}
+		}
+		cut(true)
+		w.StopAll(w.Rack(5))
+		before := w.Published()
+		w.Run(w.Now + 90*time.Second)
+		after := w.Published()
+		if after.Moved(before) == 0 || w.Publisher() == first {
+			t.Fatalf("publisher %d, %d before; %d replicas moved", w.Publisher(), first, after.Moved(before))
+		}
+		if old := w.Controls[first].Control.Register().Published(); old.Version != before.Version {
+			t.Errorf("the one that is cut off published %v", old.Version)
+		}
+		cut(false)
+		w.Run(w.Now + 10*time.Second)
+		for i, c := range w.Controls {
+			if got := c.Control.Register().Published(); got.Version.Compare(after.Version) < 0 {
+				t.Errorf("control machine %d still has %v", i, got.Version)
+			}
+		}
+		if n := len(w.Outdated(w.Published())); n > 0 {
+			t.Errorf("%d relays hold something else", n)
+		}
+	})
+}
+
+// A zone whose relays no control machine reaches for minutes goes on as before. Joined again nothing has moved, and what the
+// region changed meanwhile is in force there too. No other region's slice is taken.
+func TestZoneCutFromControl(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		before := w.Published()
+		for _, i := range w.Zone(0) {
+			w.CutRelay(i, true)
+		}
+		w.StopAll(w.Rack(1))
+		w.watch(3*time.Minute, func(c Cover) {
+			if c.NoZone+c.OneZone > 0 {
+				t.Fatalf("at %v %+v", w.Now, c)
+			}
+		})
+		for _, i := range w.Zone(0) {
+			w.CutRelay(i, false)
+		}
+		w.settle(t, 10*time.Second)
+		after := w.Published()
+		for p := range after.Partitions() {
+			for _, r := range before.Replicas(assignment.Partition(p)) {
+				if w.Places[r].Zone == 0 && !after.Serves(r, assignment.Partition(p)) {
+					t.Fatalf("partition %d moved away from relay %d, which was cut off", p, r)
+				}
+			}
+		}
+		other := assignment.NewFollower(w.Config.Number+1, 0, w.key)
+		if _, err := other.Take(0, w.Relays[0].Follower.Encoded()); !errors.Is(err, assignment.ErrOtherRegion) {
+			t.Errorf("another region's relay: %v", err)
+		}
+	})
+}
+
+// Two thousand relays that start at once, with empty disks, have all they need of the map within 3 s, and within the 3 KB a
+// second that a relay may spend on control.
+func TestMassStart(t *testing.T) {
+	const budget = 3000 // bytes a second
+	anywhere(t, func(t *testing.T, w *World) {
+		started := w.Zone(1)
+		w.StopAll(started)
+		w.Run(w.Now + 20*time.Second)
+		for _, i := range started {
+			w.Relays[i].disk = nil
+			w.Relays[i].Sent, w.Relays[i].Heard = 0, 0
+			w.StartRelay(i)
+		}
+		w.Run(w.Now + 3*time.Second)
+		without, most := 0, int64(0)
+		for _, i := range started {
+			r := w.Relays[i]
+			most = max(most, r.Sent+r.Heard)
+			if r.Follower.Current() == nil {
+				without++
+			}
+		}
+		if without*1000 > len(started) {
+			t.Errorf("%d of %d have no slice after 3 s", without, len(started))
+		}
+		if most > 3*budget {
+			t.Errorf("one spent %d bytes in 3 s", most)
+		}
+		t.Logf("%d bytes in 3 s at most", most)
+	})
+}
+
+// Every event is played and counted; what is no event is named.
+func TestPlay(t *testing.T) {
+	c := Config{Seed: 1, Relays: 240, Controls: 5, Zones: 2, RackSize: 8, Partitions: 512, Replicas: 4, Loss: 0.1}
+	for _, event := range Events {
+		o, err := Play(c, event)
+		if err != nil {
+			t.Fatal(event, err)
+		}
+		if o.NoZone > 0 || o.Late > 3 || o.RelayMost > 3000 || o.Hit == 0 {
+			t.Errorf("%+v", o)
+		}
+		if most := map[Event]float64{LoseZone: 1, Restart: 0.05}[event]; o.Share > most {
+			t.Errorf("%s: %.3f of partitions in one zone only", event, o.Share)
+		}
+		if share := float64(o.Hit) / float64(c.Relays); max(o.Moved, o.MovedBack) > 2*share {
+			t.Errorf("%s: %.4f of replicas moved, and %.4f back", event, o.Moved, o.MovedBack)
+		}
+	}
+	if _, err := Play(c, "moon"); err == nil {
+		t.Error("an unknown event is played")
+	}
+}
