--- a/client/client.go
+++ b/client/client.go
@@ -393,8 +393,8 @@
 		}
 		if v := s.handIn(ctx, choice, cn); v.Over {
 			return v, s.lastErr
-		} else if s.notBefore = v.NotBefore; s.notBefore.IsZero() {
-			continue
+		} else {
+			s.notBefore = v.NotBefore
 		}
 	}
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -102,7 +102,7 @@
 		cmd.Flags().StringVar(&o.profile, "cpu-profile", "", "write a CPU profile to this `file`, whole once the relay has stopped")
 		cmd.Flags().StringVar(&o.operator, "operator", "", "the operator's `file`, in protobuf text format")
 	}
-	root.AddCommand(serving, sendCommand(o), checkCommand(o), pluginCommand(o), journalCommand(), membersCommand(), choicesCommand(), siteCommand(), labCommand(), &cobra.Command{Use: "version",
+	root.AddCommand(serving, sendCommand(o), checkCommand(o), pluginCommand(o), journalCommand(), membersCommand(), choicesCommand(), siteCommand(), assignmentCommand(), labCommand(), &cobra.Command{Use: "version",
 		Short: "Print the version", Args: noArgs, Run: func(*cobra.Command, []string) { fmt.Println("oatfold", version) }})
 	root.SetArgs(longFlags(args))
 	return root
--- a/internal/cli/send.go
+++ b/internal/cli/send.go
@@ -60,7 +60,6 @@
 	WaitsMs []int64 `json:"waits_ms,omitempty"`
 	TookMs  float64 `json:"took_ms"`
 	Error   string  `json:"error,omitempty"`
-	result  client.Outcome
 }
 
 func sendCommand(o *options) *cobra.Command {
--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -216,6 +216,9 @@
 			return fmt.Errorf("settings.%s: %s is not a number of at least 1", key, v.Raw)
 		}
 	}
+	if err := checkNames(set); err != nil {
+		return err
+	}
 	grades := set.Get("grades").Array()
 	if len(grades) == 0 {
 		return fmt.Errorf("settings.grades: no class of message")
--- a/internal/daemon/config/settings.go
+++ b/internal/daemon/config/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"oatfold/internal/pacing"
 	"oatfold/policy"
 )
 
@@ -47,6 +48,9 @@
 		Alone:          lim.Get("peers").Type == gjson.False,
 		OverShareWorth: doc.Get("overShareWorth").Float(), HalvingWorth: fam.Get("decay").Str == "halving",
 	}
+	if me := doc.Get("me"); me.Type == gjson.Number {
+		s.Turns = pacing.New(int(me.Int()), s.Senders)
+	}
 	weights := doc.Get("weightSource").Str
 	s.RatesListed = weights == "nominal" || weights == "rough"
 	for _, c := range doc.Get("grades").Array() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,11 +54,12 @@
 // besidesTurn is between two looks at who stands by.
 const besidesTurn = time.Second
 
-// sockets shares the descriptors out: besides its own files and a connection for each slot, up to a quarter may be idle
+// sockets shares the descriptors out: besides its own files, a connection for each slot and some that are listened to behind the end of
+// their calls, up to a quarter may be idle
 // connections to endpoints and up to half clients' connections. Clients use a third, the rest is for crowds that say
 // nothing. Guards against calls that fail for want of a descriptor, where slots are many.
 func sockets(c *config.Config) (clients, idle int) {
-	own := ownFiles
+	own := ownFiles + wire.LateMost
 	if c.Admin != "" {
 		own += admin.Most + 1 + besides
 	}
@@ -354,7 +355,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	follow = func() { cancel(); work.Wait() }
-	heir := &heir{r, ctx, map[string]bool{}}
+	heir := &heir{r, ctx, map[string]bool{}, map[string]string{}}
 	leaving := false
 	if others {
 		leaving = heir.take()
@@ -499,6 +500,7 @@
 		log.Warn("listen changes with the next start only", "listen", old.Listen, "configured", c.Listen)
 		c.Listen = old.Listen
 	}
+	warnGone(log, &old.Settings, &c.Settings)
 	debug.SetMemoryLimit(memoryAim(c))
 	if clients, _ := sockets(c); front != nil {
 		front.Configure(&c.Settings, clients)
--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -239,6 +239,107 @@
 	t.Logf("%v", counts)
 }
 
+// handIn hands a charge about a subject in, under that id, on a connection of its own, and returns the status.
+func handIn(addr, id, subject string) (status int) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Minute)) // a bound for a hang
+	fmt.Fprintf(c, "POST /fee-charge?subject=%s HTTP/1.1\r\nX-Correlation-Id: %s\r\nX-Time-Left-Ms: 19000\r\nEnvelope: dest=1\r\n"+
+		"Content-Length: 13\r\nConnection: close\r\n\r\nfee-charge/%s", subject, id, id)
+	fmt.Fscanf(c, "HTTP/1.1 %d", &status)
+	return status
+}
+
+// A successor that is killed while it holds messages back behind a call of the old process, and starts again, still holds them back, and those of a subject
+// go in the order of hand-in over all three.
+func TestOrderOutlastsAKilledSuccessor(t *testing.T) {
+	classes := slices.Clone(standin.Classes)
+	classes[2].Ordered = true
+	var mu sync.Mutex
+	var calls []string
+	came, held := make(chan struct{}, 1), make(chan struct{})
+	release := sync.OnceFunc(func() { close(held) })
+	set := standin.Config{Classes: classes, Partners: []standin.PartnerConfig{{Dest: 1, Watch: func(c standin.Call) {
+		if c.Ended {
+			return
+		}
+		mu.Lock()
+		calls = append(calls, c.IDs...)
+		mu.Unlock()
+		select {
+		case came <- struct{}{}:
+		default:
+		}
+		if c.IDs[0] == "id-a" {
+			<-held
+		}
+	}}}}
+	w, old := world(t, set)
+	t.Cleanup(release)
+	called := func(id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Contains(calls, id)
+	}
+	await := func(id string, log func() string) {
+		t.Helper()
+		for !called(id) {
+			select {
+			case <-came:
+			case <-time.After(time.Minute): // a bound for a hang
+				t.Fatalf("no call of %s\n%s", id, log())
+			}
+		}
+	}
+	take := func(id, subject string) {
+		t.Helper()
+		if status := handIn(old.Addr, id, subject); status != 202 {
+			t.Fatalf("%s was answered %d", id, status)
+		}
+	}
+	take("id-a", "s")
+	await("id-a", old.Log)
+	take("id-b", "s")
+	next, err := old.Beside()
+	if err == nil {
+		err = next.Await("standing by")
+	}
+	if err == nil {
+		err = old.Signal(syscall.SIGTERM)
+	}
+	if err == nil {
+		err = next.Await("msg=ready")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	take("id-c", "s")
+	next.Kill()
+	if err := next.Start(); err != nil {
+		t.Fatal(err)
+	}
+	take("id-d", "s")
+	for _, id := range []string{"mark-1", "mark-2"} { // what may go out has gone when the second one goes
+		take(id, id)
+		await(id, next.Log)
+	}
+	mu.Lock()
+	if _, over := w.Platform.Notices()["id-a"]; !over && len(calls) != 3 {
+		t.Errorf("called %v while the first one is out", calls)
+	}
+	mu.Unlock()
+	release()
+	await("id-d", next.Log)
+	mu.Lock()
+	defer mu.Unlock()
+	if got := slices.DeleteFunc(calls, func(id string) bool { return strings.HasPrefix(id, "mark") }); !slices.Equal(got, []string{"id-a", "id-b", "id-c", "id-d"}) {
+		t.Errorf("called %v", got)
+	}
+}
+
 // The figures against the ledger: refusals of a full hold, batches, resets, partners that fail and that say nothing, notices, and messages of an earlier life.
 func TestFiguresMatchTheLedger(t *testing.T) {
 	var tried atomic.Int64
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -24,10 +24,13 @@
 	*relay
 	ctx context.Context
 	bad map[string]bool // files of the spool that can't be read: they stay, for a person to look at
+
+	latest map[string]string // by process: the file that it gave last. It stays, without messages, for a process that has to start anew
 }
 
 // take takes over what is there, and tells whether a process is still leaving.
 func (h *heir) take() (leaving bool) {
+	h.host.LookBegins()
 	held, fallen, err := h.folder.Others(h.room)
 	if err != nil {
 		h.log.Error("rooms of other processes not looked at", "err", err)
@@ -43,8 +46,14 @@
 		}
 	}
 	if !leaving {
+		for _, name := range h.latest {
+			h.done(name)
+		}
+		clear(h.latest)
 		h.folder.Sweep()
 		h.wait(h.host.Adopt(wire.Passed{Last: true}))
+	} else if h.ctx.Err() == nil {
+		h.host.LookEnded()
 	}
 	h.host.Share(h.disk(), h.folder.Used(h.room), !leaving)
 	return leaving
@@ -84,7 +93,8 @@
 // spool takes over what was given.
 func (h *heir) spool(leaving bool) {
 	for _, name := range h.folder.Given() {
-		if h.bad[name] || h.ctx.Err() != nil {
+		from := rooms.Giver(name)
+		if h.bad[name] || h.latest[from] == name || h.ctx.Err() != nil {
 			continue
 		}
 		var msgs []*memory.Message
@@ -102,17 +112,39 @@
 			continue
 		}
 		if !leaving {
-			news = nil // who gave it is gone, perhaps for long
+			news = &handover.News{Numbers: news.Numbers} // who gave it is gone, perhaps for long
 		}
-		if h.wait(h.host.Adopt(wire.Passed{Msgs: msgs, News: news})) {
-			if err := h.folder.Done(name); err != nil {
-				h.bad[name] = true
-				h.log.Error("given file is taken over but stays", "file", name, "err", err)
-			}
+		if h.wait(h.host.Adopt(wire.Passed{From: from, Msgs: msgs, News: news})) {
+			h.adopted(name, from, news, len(msgs) > 0)
 		}
 	}
 }
 
+// adopted lets a file of the spool go that is taken over. The latest one of each process stays, without its messages: should this process be killed, the one
+// that comes after it has to know what the other still owes.
+func (h *heir) adopted(name, from string, news *handover.News, messages bool) {
+	if before, some := h.latest[from]; some {
+		h.done(before)
+	}
+	h.latest[from] = name
+	if !messages {
+		return
+	}
+	if err := h.folder.Replace(name, journal.Give(nil, news.Encode())); err != nil {
+		h.log.Warn("news of the process before are not kept for another start", "file", name, "err", err)
+		h.done(name)
+		delete(h.latest, from)
+	}
+}
+
+// done removes a file of the spool.
+func (h *heir) done(name string) {
+	if err := h.folder.Done(name); err != nil {
+		h.bad[name] = true
+		h.log.Error("given file is taken over but stays", "file", name, "err", err)
+	}
+}
+
 // inherit takes over the room of a process that is gone, part by part.
 func (h *heir) inherit(r *rooms.Room) error {
 	j, table, err := journal.Open(journal.Config{FS: journal.Dir(r.Path), Budget: h.disk() - h.folder.Used(r), Log: h.log, Inline: true})
--- /dev/null
+++ b/internal/daemon/upgrade_test.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"oatfold/internal/daemon/config"
+	"oatfold/internal/handover"
+	"oatfold/internal/handover/rooms"
+	"oatfold/internal/handover/sequence"
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/internal/wire"
+	"oatfold/policy"
+)
+
+// startHeir returns a process that takes over what is in folder, as one that has just got the baton.
+func startHeir(t *testing.T, dir string) *heir {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	folder, err := rooms.Open(dir, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	room, err := folder.Home(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(room.Path), Budget: 1 << 20, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	host, err := wire.NewHost(wire.HostConfig{Settings: policy.Settings{Senders: 1, Slots: 1, MaxHeld: 9, MaxAttempts: 1, Tick: 1,
+		Classes: []policy.Class{{Name: "fee", Effect: policy.Unsafe, Ordered: true, Aim: 1, Deadline: 1 << 40, Worth: 1}}},
+		Table: table, Journal: kept, Standby: true, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() { host.Run(stop); close(done) }()
+	t.Cleanup(func() { close(stop); <-done; kept.Close(); folder.Leave(room, false) })
+	r := &relay{folder: folder, room: room, host: host, log: log, c: &config.Config{DiskBytes: 1 << 20}}
+	return &heir{r, context.Background(), map[string]bool{}, map[string]string{}}
+}
+
+// The latest news of each process stay in the spool, without the messages, until nobody leaves: a process that starts anew in the middle has to know
+// what the other one still owes.
+func TestLatestNewsStay(t *testing.T) {
+	dir := t.TempDir()
+	old, err := rooms.Open(dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	room, err := old.Take("")
+	if err != nil || room == nil {
+		t.Fatal(room, err)
+	}
+	gives := func(owes string, msgs ...*memory.Message) {
+		t.Helper()
+		news := handover.News{Owes: []sequence.Message{{ID: owes, Subject: "s", Num: 1}}}
+		if err := old.Give(journal.Give(msgs, news.Encode())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kept := func() (owes []string, msgs int) {
+		t.Helper()
+		for _, name := range old.Given() {
+			raw, err := old.Read(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			given, text, err := journal.Given(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			news, err := handover.Decode(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range news.Owes {
+				owes = append(owes, m.ID)
+			}
+			msgs += len(given)
+		}
+		return owes, msgs
+	}
+	h := startHeir(t, dir)
+	gives("a", &memory.Message{Num: 2, ID: "m", Class: "fee", Body: []byte("x")})
+	for range 2 { // the second time it is known
+		h.spool(true)
+		if owes, msgs := kept(); len(owes) != 1 || owes[0] != "a" || msgs != 0 {
+			t.Fatalf("%v and %d messages stay, want a alone", owes, msgs)
+		}
+	}
+	gives("b")
+	h.spool(true)
+	if owes, _ := kept(); len(owes) != 1 || owes[0] != "b" {
+		t.Fatalf("%v stay, want b alone", owes)
+	}
+	if held, _ := h.host.Load(); held != 1 {
+		t.Errorf("%d held", held)
+	}
+	old.Leave(room, false)
+	if h.take() {
+		t.Error("somebody is said to leave")
+	}
+	if owes, _ := kept(); len(owes) > 0 {
+		t.Errorf("%v stay at the end", owes)
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"oatfold/internal/handover/sequence"
+	"oatfold/internal/memory"
 	"oatfold/policy"
 )
 
@@ -18,6 +20,9 @@
 	Learned *policy.Learned `json:"learned,omitempty"` // what the module knows
 	List    *List           `json:"list,omitempty"`    // the pool config
 	Drained bool            `json:"drained,omitempty"` // the operators have emptied the relay
+
+	Owes    []sequence.Message `json:"owes,omitempty"`    // of ordered classes: all that it still owes and does not give here
+	Numbers *memory.Numbering  `json:"numbers,omitempty"` // how both number messages from now on
 }
 
 // Wait is a told wait.
--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -300,6 +300,24 @@
 	return os.Rename(name+tmpExt, name+giveExt)
 }
 
+// Giver tells files of the spool apart by the process that gave them.
+func Giver(name string) string {
+	_, rest, _ := strings.Cut(name, "-")
+	process, _, _ := strings.Cut(rest, "-")
+	return process
+}
+
+// Replace puts another content in place of a file of the spool. At each moment the old one is there whole, or the new one.
+func (f *Folder) Replace(name string, b []byte) error {
+	path := filepath.Join(f.path(spoolName), name)
+	tmp := strings.TrimSuffix(path, giveExt) + tmpExt
+	if err := os.WriteFile(tmp, b, 0o600); err != nil {
+		os.Remove(tmp)
+		return err
+	}
+	return os.Rename(tmp, path)
+}
+
 // Given lists the spool's files, the oldest first.
 func (f *Folder) Given() (names []string) {
 	entries, _ := os.ReadDir(f.path(spoolName)) // sorted by name
--- /dev/null
+++ b/internal/lab/capacity/capacity.go
@@ -0,0 +1,126 @@
+// Package capacity measures how a relay's state and traffic grow with the number of destinations, endpoints, held messages, keys and
+// members. Each quantity is measured at several sizes and fitted with a line: its slope is what one more of them costs, its residual
+// says how far the line can be trusted. The package drives the real packages for decisions, journal and membership, without sockets.
+//
+// Sizes in bytes and counts depend on the seed alone. Quantities that are timed depend on the machine as well; they carry Timed, and
+// belong into reports only, not into a test's verdict.
+package capacity
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Quantity is something whose growth is measured.
+type Quantity struct {
+	Name  string  // unique, in lower case: "destination known"
+	Unit  string  // of its value: "bytes", "bytes/s", "ns", "s"
+	Per   string  // what sizes count: "destinations"
+	Timed bool    // its value depends on the machine's speed
+	Bound float64 // the most that the slope may be, in Unit for each of Per; 0: no bound
+
+	Sizes []int // of a full run, ascending
+	Short []int // of a run in tests, ascending
+
+	// Measure returns the value at a size.
+	Measure func(size int, seed uint64) (float64, error)
+}
+
+// Point is one measurement, a row of the results file.
+type Point struct {
+	Quantity string  `parquet:"quantity,dict"`
+	Unit     string  `parquet:"unit,dict"`
+	Per      string  `parquet:"per,dict"`
+	Timed    bool    `parquet:"timed"`
+	Size     int64   `parquet:"size"`
+	Value    float64 `parquet:"value"`
+	Seed     uint64  `parquet:"seed"`
+}
+
+// Slope is the line through a quantity's points.
+type Slope struct {
+	Quantity
+	From, To int     // sizes that were measured
+	PerUnit  float64 // value for each one more
+	Base     float64 // value at size 0
+	Residual float64 // greatest distance of a point from the line, as a share of the point's value
+}
+
+// ErrFewSizes says that a line needs at least two sizes.
+var ErrFewSizes = errors.New("capacity: at least two sizes are needed")
+
+// ErrOverBound says that a slope is above its quantity's bound.
+var ErrOverBound = errors.New("capacity: slope above its bound")
+
+// Run measures a quantity at each size, in the order given, and fits a line through the points.
+func Run(q Quantity, sizes []int, seed uint64) ([]Point, Slope, error) {
+	if len(sizes) < 2 {
+		return nil, Slope{}, fmt.Errorf("%w: %s has %d", ErrFewSizes, q.Name, len(sizes))
+	}
+	points := make([]Point, 0, len(sizes))
+	for _, size := range sizes {
+		value, err := q.Measure(size, seed)
+		if err != nil {
+			return nil, Slope{}, fmt.Errorf("%s at %d %s: %w", q.Name, size, q.Per, err)
+		}
+		points = append(points, Point{Quantity: q.Name, Unit: q.Unit, Per: q.Per, Timed: q.Timed, Size: int64(size), Value: value, Seed: seed})
+	}
+	return points, fit(q, points), nil
+}
+
+// fit draws the line through the points that has the least square distances relative to the sizes: large sizes do not outweigh small ones.
+func fit(q Quantity, points []Point) Slope {
+	var sizes, values, weights []float64
+	for _, p := range points {
+		sizes = append(sizes, float64(p.Size))
+		values = append(values, p.Value)
+		weights = append(weights, 1/float64(p.Size)/float64(p.Size))
+	}
+	s := Slope{Quantity: q, From: int(points[0].Size), To: int(points[len(points)-1].Size)}
+	s.Base, s.PerUnit = stat.LinearRegression(sizes, values, weights, false)
+	for _, p := range points {
+		off := math.Abs(s.At(int(p.Size))-p.Value) / math.Max(math.Abs(p.Value), 1)
+		s.Residual = math.Max(s.Residual, off)
+	}
+	return s
+}
+
+// At is what the line says for a size, also outside of those measured.
+func (s Slope) At(size int) float64 { return s.Base + s.PerUnit*float64(size) }
+
+// Beyond tells how many times larger than any measured size a size is; 1 or less where it is among them.
+func (s Slope) Beyond(size int) float64 { return float64(size) / float64(s.To) }
+
+// Check returns ErrOverBound, with the figures, if the slope is above the quantity's bound.
+func (s Slope) Check() error {
+	if s.Bound > 0 && s.PerUnit > s.Bound {
+		return fmt.Errorf("%w: %s is %.1f %s for each of %s, at most %.1f", ErrOverBound, s.Name, s.PerUnit, s.Unit, s.Per, s.Bound)
+	}
+	return nil
+}
+
+// Find returns the quantities of these names, all of them for no names.
+// An unknown name is an error that lists the known ones.
+func Find(names []string) ([]Quantity, error) {
+	all := Quantities()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var known []string
+	for _, q := range all {
+		known = append(known, q.Name)
+	}
+	var found []Quantity
+	for _, name := range names {
+		i := slices.Index(known, name)
+		if i < 0 {
+			return nil, fmt.Errorf("capacity: unknown quantity %q, known are %q", name, known)
+		}
+		found = append(found, all[i])
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"errors"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const seed = 1
+
+// Every quantity that does not depend on the machine's speed grows as it is bounded, at small sizes.
+func TestSlopesStayWithinTheirBounds(t *testing.T) {
+	for _, q := range Quantities() {
+		if q.Timed {
+			continue
+		}
+		t.Run(q.Name, func(t *testing.T) {
+			_, slope, err := Run(q, q.Short, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%.2f %s for each of %s, residual %.2f", slope.PerUnit, q.Unit, q.Per, slope.Residual)
+			if err := slope.Check(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// What is timed can be measured at all: its value is positive. No bound is laid on it.
+func TestTimedQuantitiesAreMeasured(t *testing.T) {
+	for _, q := range Quantities() {
+		if !q.Timed {
+			continue
+		}
+		points, _, err := Run(q, q.Short[:2], seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range points {
+			if !(p.Value > 0) || !p.Timed {
+				t.Errorf("%s at %d: %g %s", q.Name, p.Size, p.Value, p.Unit)
+			}
+		}
+	}
+}
+
+// Names are unique, sizes ascend, and what is compared with a bound has one.
+func TestQuantitiesAreWhole(t *testing.T) {
+	names := map[string]bool{}
+	for _, q := range Quantities() {
+		if names[q.Name] || q.Name != strings.ToLower(q.Name) {
+			t.Errorf("name %q", q.Name)
+		}
+		names[q.Name] = true
+		if !slices.IsSorted(q.Sizes) || !slices.IsSorted(q.Short) || len(q.Sizes) < 4 || len(q.Short) < 2 {
+			t.Errorf("%s: sizes %v and %v", q.Name, q.Sizes, q.Short)
+		}
+		if q.Timed != (q.Bound == 0) {
+			t.Errorf("%s: timed %t, bound %g", q.Name, q.Timed, q.Bound)
+		}
+	}
+}
+
+// A line is found again, and a point off it shows in the residual.
+func TestFit(t *testing.T) {
+	line := func(off float64) Quantity {
+		return Quantity{Name: "line", Measure: func(size int, _ uint64) (float64, error) {
+			value := 100 + 3*float64(size)
+			if size == 40 {
+				value *= 1 + off
+			}
+			return value, nil
+		}}
+	}
+	_, exact, err := Run(line(0), []int{10, 40, 160, 640}, seed)
+	if err != nil || math.Abs(exact.PerUnit-3) > 1e-9 || math.Abs(exact.Base-100) > 1e-6 || exact.Residual > 1e-9 {
+		t.Errorf("%+v, %v", exact, err)
+	}
+	if got := exact.At(1000); math.Abs(got-3100) > 1e-6 {
+		t.Errorf("%g at 1000", got)
+	}
+	if got := exact.Beyond(1280); got != 2 {
+		t.Errorf("1280 lies %g times beyond", got)
+	}
+	_, bent, err := Run(line(0.5), []int{10, 40, 160, 640}, seed)
+	if err != nil || bent.Residual < 0.1 {
+		t.Errorf("%+v, %v", bent, err)
+	}
+}
+
+// What can't be measured is named with its size; a slope above its bound is named with both.
+func TestErrors(t *testing.T) {
+	broken := errors.New("broken")
+	q := Quantity{Name: "some", Unit: "bytes", Per: "things", Bound: 1, Measure: func(size int, _ uint64) (float64, error) {
+		if size > 20 {
+			return 0, broken
+		}
+		return 5 * float64(size), nil
+	}}
+	if _, _, err := Run(q, []int{10}, seed); !errors.Is(err, ErrFewSizes) {
+		t.Error(err)
+	}
+	if _, _, err := Run(q, []int{10, 40}, seed); !errors.Is(err, broken) || !strings.Contains(err.Error(), "some at 40 things") {
+		t.Error(err)
+	}
+	_, slope, err := Run(q, []int{10, 20}, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := slope.Check(); !errors.Is(err, ErrOverBound) || !strings.Contains(err.Error(), "5.0 bytes") {
+		t.Error(err)
+	}
+	if _, err := Find([]string{"endpoint", "nothing"}); err == nil || !strings.Contains(err.Error(), `"nothing"`) {
+		t.Error(err)
+	}
+	if found, err := Find([]string{"endpoint"}); err != nil || len(found) != 1 {
+		t.Errorf("%v, %v", found, err)
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/journal.go
@@ -0,0 +1,109 @@
+package capacity
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/policy"
+)
+
+// journalBudget is the most that a measured journal may take on disk, in bytes.
+const journalBudget = 4 << 30
+
+// openJournal opens a journal in a folder, with cleaning on the caller's goroutine.
+func openJournal(dir string) (*journal.Journal, *memory.Table, error) {
+	return journal.Open(journal.Config{FS: journal.Dir(dir), Budget: journalBudget, Log: slog.New(slog.DiscardHandler), Inline: true})
+}
+
+// taken is a message as a client hands it in.
+func taken(table *memory.Table) *memory.Message {
+	num := table.Next()
+	return &memory.Message{Num: num, ID: fmt.Sprintf("%016x", num), Class: "charge", Key: fmt.Sprintf("%032x", num), Body: make([]byte, bodySize),
+		Deadline: time.Unix(2_000_000_000, 0), Terms: memory.Terms{Effect: policy.Unsafe, Tenant: "customer", Subject: fmt.Sprintf("%016x", num)}}
+}
+
+// fill writes so many messages into a new journal in a folder.
+func fill(dir string, messages int) (*journal.Journal, *memory.Table, error) {
+	j, table, err := openJournal(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	for range messages {
+		if err := j.Taken(table, taken(table), false); err != nil {
+			return nil, nil, err
+		}
+		if err, _ := j.Commit(); err != nil {
+			return nil, nil, err
+		}
+	}
+	return j, table, nil
+}
+
+// inFolder runs do with a folder of its own, which is removed afterwards.
+func inFolder(do func(dir string) (float64, error)) (float64, error) {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	return do(dir)
+}
+
+// messagesInMemory counts what the message table, the journal's index and the decision module keep of held messages, bodies included.
+func messagesInMemory(size int, seed uint64) (float64, error) {
+	return inFolder(func(dir string) (float64, error) {
+		var j *journal.Journal
+		bytes, err := heapOf(func() (any, error) {
+			var table *memory.Table
+			var err error
+			if j, table, err = fill(dir, size); err != nil {
+				return nil, err
+			}
+			relay, err := holding(size, false, seed)
+			return []any{j, table, relay}, err
+		})
+		if j != nil {
+			j.Close()
+		}
+		return bytes, err
+	})
+}
+
+func messagesOnDisk(size int, _ uint64) (float64, error) {
+	return inFolder(func(dir string) (float64, error) {
+		j, _, err := fill(dir, size)
+		if err != nil {
+			return 0, err
+		}
+		defer j.Close()
+		return float64(j.Stats().Written), nil
+	})
+}
+
+// journalReadTime times the start on a journal that holds so many messages.
+func journalReadTime(size int, _ uint64) (float64, error) {
+	return inFolder(func(dir string) (float64, error) {
+		j, _, err := fill(dir, size)
+		if err != nil {
+			return 0, err
+		}
+		if err := j.Close(); err != nil {
+			return 0, err
+		}
+		began := time.Now()
+		again, table, err := openJournal(dir)
+		took := time.Since(began)
+		if err != nil {
+			return 0, err
+		}
+		defer again.Close()
+		if table.Live() != size {
+			return 0, fmt.Errorf("%d of %d messages are there after a restart", table.Live(), size)
+		}
+		return float64(took.Nanoseconds()), nil
+	})
+}
--- /dev/null
+++ b/internal/lab/command/capacity.go
@@ -0,0 +1,85 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"oatfold/internal/lab/capacity"
+)
+
+// capacityCommand measures how a relay's state and traffic grow.
+func capacityCommand() *cobra.Command {
+	var names []string
+	var seed uint64
+	var short bool
+	var out, plotFile, plotUnit string
+	cmd := &cobra.Command{Use: "capacity", Short: "What one more destination, message, key or member costs a relay", Args: cobra.NoArgs}
+	cmd.Flags().StringSliceVar(&names, "quantity", nil, "measure only quantities of these names")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "what chance is drawn from")
+	cmd.Flags().BoolVar(&short, "short", false, "small sizes, which take seconds")
+	cmd.Flags().StringVar(&out, "out", "", "write a row for each measurement into a Parquet `file`")
+	cmd.Flags().StringVar(&plotFile, "plot", "", "draw values over sizes into an SVG `file`")
+	cmd.Flags().StringVar(&plotUnit, "plot-unit", "bytes", "unit of the quantities that are drawn")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		quantities, err := capacity.Find(names)
+		if err != nil {
+			return err
+		}
+		points, slopes, err := measureAll(quantities, short, seed, cmd.ErrOrStderr())
+		if err != nil {
+			return err
+		}
+		if err := writeRows(out, points); err != nil {
+			return err
+		}
+		if plotFile != "" {
+			if err := capacity.Plot(plotFile, plotUnit, points); err != nil {
+				return err
+			}
+		}
+		if over := printSlopes(cmd.OutOrStdout(), slopes); over > 0 {
+			return exit(exitBad)
+		}
+		return nil
+	}
+	return cmd
+}
+
+// measureAll measures one quantity after another: they share one heap, which has to be still meanwhile.
+func measureAll(quantities []capacity.Quantity, short bool, seed uint64, progress io.Writer) (points []capacity.Point, slopes []capacity.Slope, err error) {
+	for _, q := range quantities {
+		fmt.Fprintf(progress, "measuring %s ...\n", q.Name)
+		sizes := q.Sizes
+		if short {
+			sizes = q.Short
+		}
+		measured, slope, err := capacity.Run(q, sizes, seed)
+		if err != nil {
+			return nil, nil, err
+		}
+		points, slopes = append(points, measured...), append(slopes, slope)
+	}
+	return points, slopes, nil
+}
+
+// printSlopes prints a line for each slope and returns how many are above their bounds.
+func printSlopes(out io.Writer, slopes []capacity.Slope) (over int) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "quantity\tfrom\tto\tof\teach\tunit\tat none\tresidual\tbound\t")
+	for _, s := range slopes {
+		bound := "-"
+		if s.Bound > 0 {
+			bound = fmt.Sprintf("%.1f", s.Bound)
+		}
+		if s.Check() != nil {
+			over++
+			bound += " OVER"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%.3f\t%s\t%.0f\t%.2f\t%s\t\n", s.Name, s.From, s.To, s.Per, s.PerUnit, s.Unit, s.Base, s.Residual, bound)
+	}
+	w.Flush()
+	return over
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -52,7 +52,7 @@
 		fmt.Fprintln(errOut, err)
 		return exit(exitUsage)
 	})
-	root.AddCommand(dayCommand(), daysCommand(), runCommand(), reportCommand(), compareCommand(), agreeCommand(), growthCommand(), auditCommand(), loadCommand(), saturateCommand(), forwardCommand(), fleetCommand(), membersCommand(), subsetsCommand(), siteCommand())
+	root.AddCommand(dayCommand(), daysCommand(), runCommand(), reportCommand(), compareCommand(), agreeCommand(), growthCommand(), auditCommand(), loadCommand(), saturateCommand(), forwardCommand(), fleetCommand(), membersCommand(), subsetsCommand(), siteCommand(), overloadCommand(), capacityCommand(), lossesCommand(), assignmentCommand())
 	err := root.ExecuteContext(ctx)
 	var code exit
 	switch {
--- a/internal/lab/command/command_test.go
+++ b/internal/lab/command/command_test.go
@@ -12,6 +12,7 @@
 	"github.com/parquet-go/parquet-go"
 	"github.com/tidwall/gjson"
 
+	"oatfold/internal/lab/overload"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 )
@@ -170,3 +171,34 @@
 		}
 	}
 }
+
+// The overload experiment prints and keeps a row for each cell, the same each time.
+func TestOverload(t *testing.T) {
+	dir := t.TempDir()
+	file, svg := filepath.Join(dir, "rows.parquet"), filepath.Join(dir, "plot.svg")
+	args := []string{"overload", "--quick", "--batch", "5", "--senders", "2", "--out", file, "--plot", svg}
+	code, out, e := run(args...)
+	if code != 0 {
+		t.Fatal(code, e)
+	}
+	rows, err := parquet.ReadFile[overload.Row](file)
+	if err != nil || len(rows) != 4 { // two limits, two loads
+		t.Fatal(len(rows), err)
+	}
+	for _, r := range rows {
+		if r.Batch != 5 || r.Senders != 2 || r.Offered == 0 || r.Goodput <= 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if info, err := os.Stat(svg); err != nil || info.Size() == 0 {
+		t.Error("no plot", err)
+	}
+	if _, again, _ := run(args...); again != out {
+		t.Errorf("two runs differ:\n%s\n%s", out, again)
+	}
+	for _, bad := range [][]string{{"--limit", "none"}, {"--batch", "0"}, {"--lowered", "0"}} {
+		if code, _, e := run(append([]string{"overload", "--quick"}, bad...)...); code != exitError || e == "" {
+			t.Errorf("%v: exit code %d, %q", bad, code, e)
+		}
+	}
+}
--- a/internal/lab/emu/emu_test.go
+++ b/internal/lab/emu/emu_test.go
@@ -104,6 +104,57 @@
 	}
 }
 
+// answersWithdrawn fails each message that is withdrawn: in the step that hears of it, or one step later.
+type answersWithdrawn struct {
+	emu.Module
+	later    bool
+	answered int
+	owed     []policy.Action
+}
+
+func (m *answersWithdrawn) Step(now time.Duration, events []policy.Event) []policy.Action {
+	acts := append(m.Module.Step(now, events), m.owed...)
+	m.owed = nil
+	for _, e := range events {
+		w, ok := e.(policy.Withdrawn)
+		if !ok {
+			continue
+		}
+		m.answered++
+		if fail := policy.Fail(w); m.later {
+			m.owed = append(m.owed, fail)
+		} else {
+			acts = append(acts, fail)
+		}
+	}
+	return acts
+}
+
+// A relay that stood still hears in one step that a call timed out and that its message is over: its answer crosses the second, and breaks no
+// rule. An answer in a later step does.
+func TestAnswerCrossesAWithdrawal(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		d := day(t, "frozen-relay", 3)
+		d.Troubles = []emu.Trouble{{Kind: emu.RelayStall, At: 6 * time.Second, Len: 15 * time.Second, Relays: []int{0}}}
+		answered := 0
+		var modules []*answersWithdrawn
+		res := play(t, d, emu.Options{Make: func(set policy.Settings, seed int64) (emu.Module, error) {
+			m, err := emu.Service(set, seed)
+			modules = append(modules, &answersWithdrawn{Module: m, later: later})
+			return modules[len(modules)-1], err
+		}})
+		for _, m := range modules {
+			answered += m.answered
+		}
+		if answered == 0 {
+			t.Fatal("no message was withdrawn")
+		}
+		if broke := len(res.Breaks) > 0; broke != later {
+			t.Errorf("one step later %t: %d answers, %v", later, answered, res.Breaks)
+		}
+	}
+}
+
 // Modules that break a rule are found out, each by its rule.
 func TestFindsBrokenModules(t *testing.T) {
 	for name, c := range map[string]struct {
--- /dev/null
+++ b/internal/lab/emu/limiter_test.go
@@ -0,0 +1,79 @@
+package emu
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// takenOf counts the calls that a limit takes of so many a second, evenly spaced, over a minute.
+func takenOf(l *limiter, callsPerSecond float64) (taken int) {
+	n := int(60 * callsPerSecond)
+	for i := range n {
+		if l.admits(seconds(float64(i) / callsPerSecond)) {
+			taken++
+		}
+	}
+	return taken
+}
+
+// A rate limit takes its rate whatever it is asked for; where refused calls count, it takes next to nothing of twice its rate.
+func TestRateLimit(t *testing.T) {
+	const rate = 10
+	for _, c := range []struct {
+		counted   bool
+		calls     float64
+		low, high int
+	}{{false, 8, 480, 480}, {false, 20, 595, 610}, {true, 8, 480, 480}, {true, 9.9, 593, 594}, {true, 20, 1, 20}} {
+		l := newLimiter(&Kind{Limit: RateLimit, RefusedCount: c.counted}, rate, 0)
+		if n := takenOf(l, c.calls); n < c.low || n > c.high {
+			t.Errorf("counted %t, %g calls a second: %d taken, want %d to %d", c.counted, c.calls, n, c.low, c.high)
+		}
+	}
+}
+
+// A window limit takes as many calls as fit into each window, and refused ones are forgotten with their window.
+func TestWindowLimit(t *testing.T) {
+	for _, counted := range []bool{false, true} {
+		l := newLimiter(&Kind{Limit: WindowLimit, Window: 1500 * time.Millisecond, RefusedCount: counted}, 10, -time.Second)
+		if n := takenOf(l, 40); n < 600 || n > 630 {
+			t.Errorf("counted %t: %d taken, want 15 in each of 40 windows", counted, n)
+		}
+	}
+}
+
+// A lowered limit holds for as long as it is lowered, for rate and window alike.
+func TestLoweredLimit(t *testing.T) {
+	for _, kind := range []Limit{RateLimit, WindowLimit} {
+		l := newLimiter(&Kind{Limit: kind, Window: time.Second}, 10, 0)
+		l.lowered = 0.3
+		if n := takenOf(l, 10); n < 178 || n > 186 {
+			t.Errorf("limit %d: %d taken, want 180", kind, n)
+		}
+	}
+}
+
+// Reports tell what is left, and a limit that is a little off; kinds without reports tell nothing.
+func TestLimitReports(t *testing.T) {
+	rng := chance(1, "report")
+	for _, kind := range []Limit{RateLimit, WindowLimit} {
+		l := newLimiter(&Kind{Limit: kind, Window: time.Second, Reports: true}, 10, 0)
+		full := l.report(0, rng).Left
+		for l.admits(0) {
+		}
+		spent := l.report(0, rng)
+		if full != 1 || spent.Left > 0.1 {
+			t.Errorf("limit %d: %g left at first, %g once it is spent", kind, full, spent.Left)
+		}
+		if off := math.Abs(spent.Limit/10 - 1); off > reportError || off == 0 {
+			t.Errorf("limit %d: told to be %g, is 10", kind, spent.Limit)
+		}
+		l.lowered = 0.5
+		if told := l.report(0, rng).Limit; math.Abs(told/5-1) > reportError {
+			t.Errorf("limit %d: told to be %g, is 5", kind, told)
+		}
+	}
+	if l := newLimiter(&Kind{Limit: RateLimit}, 10, 0); l.report(0, rng) != nil {
+		t.Error("a kind without reports tells of its limit")
+	}
+}
--- a/internal/memory/table.go
+++ b/internal/memory/table.go
@@ -62,6 +62,7 @@
 	order []over            // the same, oldest first; one whose ordinal is not the id's any more was forgotten
 	overs uint64
 	now   func() time.Time
+	both  *Numbering // two processes draw numbers; nil: this one alone
 }
 
 // over is one id of a message that is over, since at.
@@ -94,9 +95,11 @@
 // Overs counts the ids that are kept of messages that are over.
 func (t *Table) Overs() int { return len(t.over) }
 
-// Next returns a number that no message of this table has had.
+// Next returns a number that no message of this table has had, larger than all that it returned before.
 func (t *Table) Next() uint32 {
-	t.last++
+	if t.last++; t.both != nil {
+		t.last = t.both.draw(t.last)
+	}
 	return t.last
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -326,6 +326,11 @@
 		old++
 	}
 	p.all = append(slices.Delete(p.all, 0, old), a)
+	for target, c := range a.counts {
+		if own := p.paces[target]; own != nil && target >= routeBase {
+			own.book(a.at-a.span, c)
+		}
+	}
 }
 
 // News is what the relays heard of see in the mean, in order of destinations, and what each may make of it. It comes once after each Tell; nothing
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -230,6 +230,32 @@
 	}
 }
 
+// Risk: news tell of calls made some looks ago. Where an allowance was raised meanwhile, refusals began at what it was then; taken
+// for what it is now, it is raised as far again, past the limit, as soon as refusals are over.
+func TestRefusalsBeganSomeLooksAgo(t *testing.T) {
+	p := &pace{allow: 0.2, edge: 5}
+	now := 10 * s
+	var allowed []float64
+	for range 6 {
+		allowed = append(allowed, p.allow)
+		now += turn
+		p.follow(now, policy.Usual{Taken: p.allow, Wanted: 1, Calls: 50}, 0, 0, false)
+	}
+	if p.allow < 2*allowed[0] {
+		t.Fatalf("raised from %v to %v only", allowed[0], p.allow)
+	}
+	began := allowed[len(allowed)-seenLate+1] // the one that tells of refusals and two looks before it
+	now += turn
+	p.follow(now, policy.Usual{Taken: 0.1, Refused: 0.2, Wanted: 1, Calls: 50}, 0, 0, false)
+	if p.edge != began {
+		t.Errorf("refusals are taken to begin at %v, want %v; allowed were %v", p.edge, began, allowed)
+	}
+	anew := &pace{}
+	if anew.follow(now, policy.Usual{Taken: 0.5, Refused: 0.5, Wanted: 1, Calls: 50}, 0, 0, false); anew.edge != 1 {
+		t.Errorf("with no allowance before, refusals begin at the calls that are made, not at %v", anew.edge)
+	}
+}
+
 // Notes that name ever new destinations fill no memory: what is kept of them is bounded, and forgotten.
 func TestSenselessDestinations(t *testing.T) {
 	all := fleet(80)
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -59,7 +59,7 @@
 // Gate opens a gate to a relay's address. Script is asked for each POST, of which n came before; nil passes all. To may
 // be empty where the script answers all itself.
 func (w *World) Gate(to string, script func(n int, path string) Fault) (*Gate, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -119,7 +119,8 @@
 	var grades []object
 	for _, c := range w.set.Classes {
 		grades = append(grades, object{"name": c.Name, "effect": c.Effect, "group": "all", "promiseUs": c.Aim.Microseconds(),
-			"deadlineUs": c.Deadline.Microseconds(), "repeatWindowUs": c.Window.Microseconds(), "credit": c.Worth, "lateValue": c.LateWorth})
+			"deadlineUs": c.Deadline.Microseconds(), "repeatWindowUs": c.Window.Microseconds(), "credit": c.Worth, "lateValue": c.LateWorth,
+			"inTurn": c.Ordered})
 	}
 	config := object{"name": name, "listen": listen, "discovery": w.Platform.Addr, "seed": fmt.Sprintf("%016x", w.set.Seed),
 		"limits": object{"cores": 1, "memory_mb": 192, "sockets": w.set.Sockets, "disk_mb": w.set.DiskMB},
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -26,6 +26,7 @@
 	Name, Effect          string // safe, keyed or unsafe
 	Aim, Deadline, Window time.Duration
 	Worth, LateWorth      float64
+	Ordered               bool // messages of one subject go one at a time
 }
 
 // Classes are those that a world has if it is not told any.
@@ -154,11 +155,17 @@
 
 var hosts atomic.Uint32
 
+// listen opens a listener at a loopback address of its own. Guards against strangers: who asks again at a port of
+// 127.0.0.1 that has passed to a listener here, from any process, would be answered by a test's script.
+func listen() (net.Listener, error) {
+	n := int(hosts.Add(1)) // the next hundreds have a net of their own: an address comes again after 62,500
+	return net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, (os.Getpid()/64+n/250)%250, 1+n%250))
+}
+
 // Addr reserves a loopback address of its own for a listener that comes and goes. Guards against a port that an outgoing
 // connection takes while the listener is down: those come from 127.0.0.1.
 func Addr() (string, error) {
-	n := int(hosts.Add(1)) // the next hundreds have a net of their own: an address comes again after 62,500
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, (os.Getpid()/64+n/250)%250, 1+n%250))
+	ln, err := listen()
 	if err != nil {
 		return "", err
 	}
--- /dev/null
+++ b/internal/wire/decisions.go
@@ -0,0 +1,150 @@
+package wire
+
+import (
+	"errors"
+	"runtime/debug"
+	"time"
+
+	"oatfold/internal/memory"
+	"oatfold/internal/peers"
+	"oatfold/policy"
+)
+
+// This file carries the decision module: what it is told, the steps that it takes, and how it starts anew after a panic.
+
+// share tells others what this relay saw, when that is due, and the module what all see.
+func (h *Host) share(now policy.Time) {
+	if !h.pool.Active() || h.quiet || now < h.pool.Next() {
+		return
+	}
+	out, turned := h.pool.Turn(now)
+	h.putNotes(out)
+	h.members(now)
+	if !turned {
+		return
+	}
+	news := policy.FleetNews{Usual: h.pool.News(now, time.Now()), Senders: h.pool.Sharing(now)}
+	h.targets.Name(news.Usual)
+	if len(news.Usual) > 0 || news.Senders != h.sharing { // no step for news of nothing
+		h.sharing, h.pending = news.Senders, append(h.pending, news)
+	}
+	if h.watch != nil {
+		h.watch.Heard(now, news.Usual)
+	}
+	h.subsets(now)
+}
+
+// shared books the end of a call for the notes.
+func (h *Host) shared(e callEnded) {
+	if len(e.ends) == 0 || errors.Is(e.err, errTableFull) {
+		return // that tells of other relays' idle connections only
+	}
+	how := peers.Failed
+	switch e.ends[0].outcome {
+	case policy.Delivered, policy.Errored:
+		how = peers.Taken
+	case policy.Rejected:
+		how = peers.Refused
+	case policy.Unsent:
+		return // it tells nothing of the destination
+	}
+	h.pool.Ended(h.targets.Of(e.call.ep.id, e.call.ep.dest), how)
+}
+
+func (h *Host) step(now policy.Time) {
+	wall := time.Now()
+	for _, m := range h.arrivals {
+		if m.Steps == 0 {
+			h.targets.Wanted(m.Dest, h.pool.Wanted)
+		}
+		h.pending = append(h.pending, arrived(m, wall))
+	}
+	events := h.pending
+	h.pending, h.arrivals, h.lastStep = nil, nil, now
+	acts, ok := h.decide(now, events)
+	if !ok {
+		h.rebuild(now)
+		return
+	}
+	h.figures.Endpoints(len(h.endpoints), h.relay.Skipped())
+	var calls []*call
+	open := map[string]*call{}
+	for _, a := range acts {
+		switch a := a.(type) {
+		case policy.Send:
+			calls = h.send(now, wall, a, open, calls)
+		case policy.Refuse:
+			h.finish(a.ID, memory.Notice{Refused: true, Advice: a.RetryAfter})
+		case policy.Fail:
+			h.finish(a.ID, memory.Notice{})
+		case policy.WakeAfter:
+			h.wakeAt = now + a.Delay
+		case policy.CloseIdle:
+			if ep := h.endpoints[a.Endpoint]; ep != nil {
+				h.closeIdle(ep)
+			}
+		case policy.Note:
+			h.log.Info("module", "note", a.Text)
+		}
+	}
+	for _, cl := range calls {
+		h.begin(cl)
+	}
+}
+
+// arrived is what the module is told of a message, with what earlier lives did with it.
+func arrived(m *memory.Message, wall time.Time) policy.Arrived {
+	// Guards against an answer in the very moment in which the time is up: whoever counts from when the client sent the message is a little
+	// earlier than this relay, takes the answer for late, and waits for a notice that never comes.
+	left := m.Deadline.Sub(wall) - endBefore
+	a := policy.Arrived{ID: m.Num, Class: m.Class, Destination: m.Dest, Left: left, Tries: m.Steps, Kept: m.Kept,
+		Tenant: m.Tenant, Key: m.Subject, Terms: policy.Class{Effect: m.Effect, Window: m.Window, ZoneOnly: m.ZoneOnly}}
+	if !m.RiskAt.IsZero() {
+		if a.MayHave, a.RiskAge = true, wall.Sub(m.RiskAt); a.RiskAge < 0 {
+			// Guards against a clock that was set back between two lives: how long ago it was is not known, so that no
+			// partner can be counted on to drop a repeat.
+			a.RiskAge = unknownAge
+		}
+	}
+	return a
+}
+
+// decide runs one step of the module; a panic there is not the process's end.
+func (h *Host) decide(now policy.Time, events []policy.Event) (acts []policy.Action, ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.log.Error("the module panicked and starts anew", "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	return h.relay.Step(now, events), true
+}
+
+// rebuild starts the module anew with what the table holds, as after a restart, once all told waits are over.
+// A message whose call is out is handed over when the call has ended.
+func (h *Host) rebuild(now policy.Time) {
+	relay, err := policy.New(h.set, now.Nanoseconds())
+	if err != nil {
+		return // the settings were good at the start
+	}
+	h.relay, h.wakeAt, h.pending, h.arrivals, h.sharing = relay, 0, nil, nil, 0
+	whole := policy.ListNews{Kind: policy.ListRestored}
+	for _, ep := range h.endpoints {
+		whole.Entries = append(whole.Entries, policy.Endpoint{Address: ep.id, Destination: ep.dest,
+			Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate})
+	}
+	h.pending = append(h.pending, whole)
+	h.pool.Again()
+	if h.watch != nil {
+		h.pending = append(h.pending, policy.Sites{Reach: h.watch})
+	}
+	for _, ep := range h.endpoints {
+		h.holdTil = max(h.holdTil, now+time.Until(time.Unix(0, ep.gate.until.Load())))
+	}
+	for cl := range h.calls {
+		for i := range cl.items {
+			cl.items[i].ended, cl.items[i].anew = true, true
+		}
+	}
+	h.sequence.Drop()
+	h.restore(true)
+}
--- a/internal/wire/endpoints.go
+++ b/internal/wire/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"oatfold/internal/memory"
 	"oatfold/policy"
@@ -15,6 +16,7 @@
 	if h.generation = pc.Generation; pc.Generation == 0 && len(pc.Members) == 0 {
 		h.generation = -1
 	}
+	h.warnUnknown(pc.Members)
 	for _, mb := range pc.Members {
 		named[mb.Address] = true
 		news.Entries = append(news.Entries, mb.Endpoint)
@@ -31,6 +33,7 @@
 		if ep.gone() {
 			h.closeIdle(ep)
 			delete(h.endpoints, id)
+			h.targets.Remove(id, ep.dest)
 			if maps.DeleteFunc(h.routes, func(_ string, g *gate) bool { return !g.closed() }); ep.gate.closed() && ep.gate != h.gates[ep.dest] {
 				h.routes[id] = ep.gate
 			}
@@ -48,6 +51,36 @@
 	h.log.Debug("pool config", "generation", pc.Generation, "entries", len(pc.Members), "whole", kind != policy.ListChanges)
 }
 
+// warnUnknown logs the kinds and zones that a list brings up and the settings do not have. Their endpoints are used all
+// the same, with one message in a call, one route for a destination and no fee: a relay without them would lose messages.
+func (h *Host) warnUnknown(members []memory.Member) {
+	kinds, zones := map[string]bool{}, map[string]bool{}
+	for _, mb := range members {
+		if mb.State == policy.Removed {
+			continue
+		}
+		kind, listed := h.kinds[mb.Destination]
+		if _, known := h.kindOf[mb.Kind]; !known && !(listed && kind == mb.Kind) {
+			kinds[mb.Kind] = true
+		}
+		ep := h.endpoints[mb.Address]
+		if !h.zoneKnown(mb.Zone) && !(ep != nil && ep.zone == mb.Zone) {
+			zones[mb.Zone] = true
+		}
+	}
+	if len(kinds) > 0 && len(h.kindOf) > 0 {
+		h.log.Warn("pool config has kinds that are not in the settings", "kinds", slices.Sorted(maps.Keys(kinds)))
+	}
+	if len(zones) > 0 && len(h.set.Zones) > 0 {
+		h.log.Warn("pool config has zones that are not in the settings", "zones", slices.Sorted(maps.Keys(zones)))
+	}
+}
+
+// zoneKnown tells whether the settings name the zone.
+func (h *Host) zoneKnown(name string) bool {
+	return slices.ContainsFunc(h.set.Zones, func(z policy.Zone) bool { return z.Name == name })
+}
+
 func (h *Host) member(mb memory.Member) {
 	ep := h.endpoints[mb.Address]
 	if mb.State == policy.Removed {
@@ -82,7 +115,9 @@
 	}
 	ep.zone, ep.rate = mb.Zone, mb.Rate
 	ep.state.Store(int32(mb.State))
-	h.kinds[mb.Destination] = mb.Kind
+	if h.kinds[mb.Destination] = mb.Kind; h.kindOf[mb.Kind].SeparateRoutes {
+		h.targets.Add(mb.Address, mb.Destination)
+	}
 }
 
 func (ep *endpoint) gone() bool { return policy.EndpointState(ep.state.Load()) == policy.Removed }
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -45,7 +46,7 @@
 	ln       net.Listener
 	events   chan<- any
 	classes  atomic.Pointer[map[string]policy.Class]
-	tenants  atomic.Bool // the settings name some
+	tenants  atomic.Pointer[map[string]bool] // by name; empty: the settings name none
 	log      *slog.Logger
 	advice   atomic.Int64 // nanoseconds: when refused clients are to come again; 0: none is told
 	plugins  *plugin.Holder
@@ -139,7 +140,11 @@
 		classes[c.Name] = c
 	}
 	f.classes.Store(&classes)
-	f.tenants.Store(len(set.Tenants) > 0)
+	tenants := map[string]bool{}
+	for _, t := range set.Tenants {
+		tenants[t.Name] = true
+	}
+	f.tenants.Store(&tenants)
 	if f.advice.Store(0); set.RetryAdvice {
 		f.advice.Store(int64(set.MaxRetryAdvice))
 	}
@@ -522,6 +527,14 @@
 
 func (e fieldError) Error() string { return "missing or malformed: " + string(e) }
 
+// unknownError names a class or tenant that the settings do not have.
+type unknownError struct{ what, name string }
+
+// Error shows at most 64 characters of the name, which the client chose.
+func (e unknownError) Error() string {
+	return fmt.Sprintf("unknown %s %.64q: the settings do not have it", e.what, e.name)
+}
+
 // message reads what the client hands in, and how long it may take.
 func (f *Front) message(h *head, path, query string, body []byte) (*memory.Message, time.Duration, error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
@@ -542,7 +555,8 @@
 		}
 	}
 	tenant, badTenant := h.only("X-Account")
-	if !f.tenants.Load() {
+	tenants := *f.tenants.Load()
+	if len(tenants) == 0 {
 		tenant, badTenant = "", nil // whatever it is, it is no name of ours
 	}
 	values, badQuery := url.ParseQuery(query)
@@ -550,7 +564,7 @@
 	limit := time.Duration(min(left, maxLeftMs)) * time.Millisecond // Guards against a figure that overflows
 	switch {
 	case !known:
-		return nil, 0, fieldError("class in the path")
+		return nil, 0, unknownError{"class", name}
 	case badID != nil || id == "" || len(id) > maxID || !plain(id):
 		return nil, 0, fieldError("X-Correlation-Id")
 	case badKey != nil || len(key) > maxID || !plain(key) || class.Effect == policy.Keyed && key == "":
@@ -561,6 +575,8 @@
 		return nil, 0, fieldError("dest in Envelope")
 	case badTenant != nil || len(tenant) > maxID || !plain(tenant):
 		return nil, 0, fieldError("X-Account")
+	case tenant != "" && !tenants[tenant]:
+		return nil, 0, unknownError{"tenant", tenant} // a hand-in without one is nobody's share
 	case class.Ordered && (badQuery != nil || len(values["subject"]) > 1 || len(subject) > maxID):
 		return nil, 0, fieldError("subject in the query") // read as another, it would overtake its own
 	}
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oatfold/internal/handover"
+	"oatfold/internal/handover/sequence"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/policy"
@@ -13,6 +14,7 @@
 
 // Passed is what another process of this relay left or gave: a file of the spool, or a part of a room.
 type Passed struct {
+	From  string // the process that gave it; empty: a room
 	Msgs  []*memory.Message
 	Overs []string       // ids of messages that are over
 	News  *handover.News // nil: none
@@ -23,6 +25,11 @@
 func (h *Host) Adopt(p Passed) <-chan struct{} {
 	done := make(chan struct{})
 	h.Do(func(h *Host) {
+		if p.News != nil && p.News.Numbers != nil {
+			numbers := *p.News.Numbers
+			numbers.Odd = true
+			h.table.Interleave(numbers)
+		}
 		for _, m := range p.Msgs {
 			h.adopt(m)
 		}
@@ -30,10 +37,13 @@
 			h.table.MarkOver(id)
 		}
 		if p.News != nil {
+			h.sequence.Owes(p.From, p.News.Owes)
 			h.heardNews(p.News)
 		}
 		if p.Last {
 			h.elsewhere = nil
+			h.release(h.sequence.End())
+			h.table.Alone()
 			h.lend(nil)
 		}
 		h.adopted = append(h.adopted, done)
@@ -45,6 +55,8 @@
 // message then comes twice, and is known by its id.
 func (h *Host) adopt(m *memory.Message) {
 	delete(h.elsewhere, m.ID)
+	h.sequence.Arrived(m.ID)
+	num := m.Num // where the message keeps it, it keeps its place in the order of hand-in, here and after a restart
 	if have := h.table.ByID(m.ID); have != nil {
 		if m.Steps <= have.Steps || have.Out != nil || have.Owed != nil {
 			return
@@ -53,10 +65,13 @@
 		h.end(have, true)
 		h.table.Forget(m.ID)
 		h.pending = append(h.pending, policy.Withdrawn{ID: have.Num})
+		num = h.table.Next()
 	} else if h.table.Over(m.ID) {
 		return
+	} else if !h.table.Keeps(num) {
+		num = h.table.Next()
 	}
-	m.Num, m.Out, m.New = h.table.Next(), nil, false
+	m.Num, m.Out, m.New = num, nil, false
 	h.journal.Kept(h.table, m)
 	h.resume(m, time.Now())
 }
@@ -142,8 +157,13 @@
 // bytes; the rest goes with Give. Where the first file cannot be given, all stays as it was.
 func (h *Host) HandOver(give func([]byte) error, drained bool, room int64) (err error) {
 	h.Do(func(h *Host) {
-		learned := h.relay.Learned(h.now())
-		news := &handover.News{Drained: drained, Learned: &learned, List: &handover.List{Generation: h.generation}}
+		parked := h.parked
+		h.parked = nil
+		for _, cl := range parked {
+			h.endParked(cl) // its messages are given
+		}
+		learned, numbers := h.relay.Learned(h.now()), h.table.Share()
+		news := &handover.News{Drained: drained, Learned: &learned, List: &handover.List{Generation: h.generation}, Numbers: &numbers}
 		for _, ep := range h.endpoints {
 			news.List.Members = append(news.List.Members, handover.Member{HostPort: ep.addr, Endpoint: policy.Endpoint{Address: ep.id, Destination: ep.dest,
 				Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate}})
@@ -167,6 +187,8 @@
 			return
 		}
 		h.giving, h.quiet, h.arrivals, h.pending = give, true, nil, nil
+		h.sequence = sequence.Sequencer{}
+		h.table.Interleave(numbers)
 		for cl := range h.calls {
 			for i := range cl.items {
 				cl.items[i].ended, cl.items[i].anew = true, true // what they leave undone is given
@@ -210,10 +232,11 @@
 		}
 		msgs = append(msgs, m)
 	}
-	if len(msgs) == 0 && len(h.waits) == 0 && len(h.calls) == h.toldOut {
+	owes := h.owes(msgs)
+	if len(msgs) == 0 && len(h.waits) == 0 && len(h.calls) == h.toldOut && slices.Equal(owes, h.toldOwes) {
 		return nil
 	}
-	news.Waits = h.waits
+	news.Waits, news.Owes = h.waits, owes
 	for cl := range h.calls {
 		news.Out = append(news.Out, policy.Lent{Endpoint: cl.ep.id, Age: h.now() - cl.began})
 	}
@@ -221,7 +244,7 @@
 		h.log.Error("not given to the process that takes over: it stays in the room", "messages", len(msgs), "err", err)
 		return err
 	}
-	h.waits, h.toldOut, h.left = nil, len(h.calls), rest
+	h.waits, h.toldOut, h.toldOwes, h.left = nil, len(h.calls), owes, rest
 	for _, m := range msgs {
 		// Its id is not kept as over: it is not.
 		h.end(m, true)
--- a/internal/wire/members.go
+++ b/internal/wire/members.go
@@ -31,34 +31,53 @@
 	}
 }
 
-// members logs what has changed of the fleet, and now and then makes a view for those who ask.
+// members makes a view for those who ask, now and then, and logs the changes that it shows. Whoever reads of a change in the log and then
+// asks has to find it in the answer, so no change is logged before its view is there.
 func (h *Host) members(now policy.Time) {
 	list := h.pool.Members()
-	if list == nil {
+	if list == nil || !h.viewDue(list, now) {
 		return
 	}
+	h.showMembers(list.View(now))
+	h.viewAt = now
 	for _, c := range list.Changes() {
-		level := slog.LevelInfo
-		if c.To == members.Suspect || c.From == members.Suspect && c.To == members.Alive {
-			level = slog.LevelDebug // a doubt that may pass
-		}
-		h.log.Log(h.watching, level, "member", "number", c.Number, "state", c.To.String(), "was", c.From.String(), "incarnation", c.Incarnation, "why", c.Why)
+		h.logChange(c)
+	}
+}
+
+// viewDue tells whether it is time for another view of the members.
+func (h *Host) viewDue(list *members.List, now policy.Time) bool {
+	shown := h.view.Load()
+	if shown == nil {
+		return true
+	}
+	if shown.Version == list.Version() {
+		return now >= h.viewAt+viewStale
 	}
-	was := h.view.Load()
-	if was != nil && now < h.viewAt+viewTurn || was != nil && was.Version == list.Version() && now < h.viewAt+viewStale {
+	return now >= h.viewAt+viewTurn
+}
+
+// showMembers puts a view in place of the last one, and warns where this relay has begun to doubt itself.
+func (h *Host) showMembers(v *members.View) {
+	was := h.view.Swap(v)
+	if was != nil && was.Deaf == v.Deaf && was.Rival == v.Rival {
 		return
 	}
-	v := list.View(now)
-	if was == nil || was.Deaf != v.Deaf || was.Rival != v.Rival {
-		if v.Deaf {
-			h.log.Warn("no other relay is heard: this one may be cut off")
-		}
-		if v.Rival {
-			h.log.Error("another process speaks under this relay's number", "number", h.among.Me)
-		}
+	if v.Deaf {
+		h.log.Warn("no other relay is heard: this one may be cut off")
 	}
-	h.viewAt = now
-	h.view.Store(v)
+	if v.Rival {
+		h.log.Error("another process speaks under this relay's number", "number", h.among.Me)
+	}
+}
+
+// logChange logs what a member is taken for from now on.
+func (h *Host) logChange(c members.Change) {
+	level := slog.LevelInfo
+	if c.To == members.Suspect || c.From == members.Suspect && c.To == members.Alive {
+		level = slog.LevelDebug // a doubt that may pass
+	}
+	h.log.Log(h.watching, level, "member", "number", c.Number, "state", c.To.String(), "was", c.From.String(), "incarnation", c.Incarnation, "why", c.Why)
 }
 
 // Members is the latest view of the fleet; nil: who lives is not asked. Anyone may call it: it waits for nothing.
--- /dev/null
+++ b/internal/wire/members_test.go
@@ -0,0 +1,81 @@
+package wire
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"oatfold/internal/peers"
+	"oatfold/internal/peers/members"
+	"oatfold/policy"
+)
+
+// memberLog calls logged for each change of a member that is logged.
+type memberLog struct {
+	slog.Handler
+	logged func(number int64, state string)
+}
+
+func (l memberLog) Enabled(context.Context, slog.Level) bool { return true }
+
+func (l memberLog) Handle(_ context.Context, record slog.Record) error {
+	if record.Message != "member" {
+		return nil
+	}
+	var number int64
+	var state string
+	record.Attrs(func(a slog.Attr) bool {
+		switch a.Key {
+		case "number":
+			number = a.Value.Int64()
+		case "state":
+			state = a.Value.String()
+		}
+		return true
+	})
+	l.logged(number, state)
+	return nil
+}
+
+// Whoever reads of a change in the log finds it in the view, also where the change comes right behind an earlier view.
+func TestLoggedChangeIsInTheView(t *testing.T) {
+	other := peers.New(1, 2, 2)
+	other.Join(0, 2)
+	h := &Host{pool: peers.New(0, 2, 1), watching: context.Background()}
+	h.pool.Join(0, 1)
+	var logged []string
+	h.log = slog.New(memberLog{quiet.Handler(), func(number int64, state string) {
+		logged = append(logged, state)
+		if shown := h.Members(); shown == nil || shown.Members[number].State.String() != state {
+			t.Errorf("member %d is logged as %s before the view shows it", number, state)
+		}
+	}})
+	hear := func(now policy.Time) {
+		out, _ := other.Turn(now)
+		for _, o := range out {
+			if _, err := h.pool.Hear(now, 1, o.Note); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	hear(0)
+	h.members(0)
+	other.Leave(time.Millisecond)
+	left := time.Millisecond
+	for ; h.pool.Members().State(1) != members.Left; left += members.Period {
+		if left > 10*members.Period {
+			t.Fatal("the other never said that it leaves")
+		}
+		hear(left)
+	}
+	h.viewAt = left // a view was made just now
+	h.members(left)
+	if len(logged) > 0 {
+		t.Errorf("logged %v, and the view is not due", logged)
+	}
+	h.members(left + viewTurn)
+	if len(logged) == 0 || logged[len(logged)-1] != "left" {
+		t.Errorf("logged %v, not that the other left", logged)
+	}
+}
--- /dev/null
+++ b/internal/wire/parked_test.go
@@ -0,0 +1,113 @@
+package wire
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"oatfold/internal/memory"
+	"oatfold/policy"
+)
+
+// A message is over once the platform has answered its notice: only then does the next one of its subject go out.
+func TestNextWaitsForTheNotice(t *testing.T) {
+	for name, status := range map[string]int{"given up by the module": 500, "over by the endpoint's word": 410} {
+		t.Run(name, func(t *testing.T) {
+			asked, answer := make(chan struct{}, 9), make(chan struct{})
+			w := startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) {
+				if r.Header.Get("X-Correlation-Id") == "a" {
+					rw.WriteHeader(status)
+				}
+			})
+			w.order()
+			w.Lock()
+			w.told = func() { asked <- struct{}{}; <-answer }
+			w.Unlock()
+			w.host.Do(func(h *Host) { h.quiet = true }) // both are there before the first step
+			for _, id := range []string{"a", "b"} {
+				if got := w.client(ofSubject(id)); got != 202 {
+					t.Fatalf("answered %d", got)
+				}
+			}
+			w.host.Do(func(h *Host) { h.quiet = false })
+			<-asked
+			waitFor(t, "the module to let b go", func() bool { n, _ := w.steps("b"); return n == 1 })
+			w.host.Do(func(h *Host) {
+				if len(h.parked) != 1 {
+					t.Errorf("%d calls wait for the notice", len(h.parked))
+				}
+			})
+			w.Lock()
+			if slices.Contains(w.calls, "b") {
+				t.Error("b was called while the notice of a was not answered")
+			}
+			w.Unlock()
+			close(answer)
+			w.until("the call of b", func() bool { return slices.Contains(w.calls, "b") })
+			w.empty()
+		})
+	}
+}
+
+// A call whose time is up while it waits for a notice has not been sent.
+func TestParkedCallEndsUnsent(t *testing.T) {
+	h := bare(t)
+	h.pending = nil
+	a, b := h.message("a", 7, 1), h.message("b", 7, 1)
+	a.Subject, b.Subject = "s", "s"
+	h.finish(a.Num, memory.Notice{})
+	calls := h.send(0, time.Now(), policy.Send{ID: b.Num, Endpoint: "s-1", Timeout: time.Second}, map[string]*call{}, nil)
+	h.begin(calls[0])
+	if len(h.parked) != 1 || len(h.begun) != 0 {
+		t.Fatalf("%d parked, %d begun", len(h.parked), len(h.begun))
+	}
+	h.unpark(time.Second - 1)
+	if len(h.parked) != 1 || len(h.pending) != 0 {
+		t.Fatalf("before its time: %d parked, %v", len(h.parked), h.pending)
+	}
+	h.unpark(time.Second)
+	if e, ok := h.pending[0].(policy.Ended); len(h.parked) != 0 || len(h.calls) != 0 || !ok || e.Outcome != policy.Unsent || b.Out != nil {
+		t.Errorf("%d parked, %d out, %+v", len(h.parked), len(h.calls), h.pending)
+	}
+}
+
+// A notice that an earlier life owed holds the next message of its subject as well, and none of another or before it.
+func TestRestoredNoticeHoldsTheNext(t *testing.T) {
+	h := bare(t)
+	before, a, b, other := h.message("before", 7, 1), h.message("a", 7, 1), h.message("b", 7, 1), h.message("other", 7, 1)
+	before.Subject, a.Subject, b.Subject, other.Subject = "s", "s", "s", "t"
+	h.table.Owe(a, memory.Notice{})
+	h.restore(false)
+	if !h.behindNotice(b) || h.behindNotice(before) || h.behindNotice(other) {
+		t.Error("the wrong ones wait")
+	}
+	h.over(a)
+	if h.behindNotice(b) || len(h.awaited) > 0 {
+		t.Error("it waits for a notice that was answered")
+	}
+}
+
+// What waits for a notice takes no batch with it, and no slot that is not there.
+func TestParkedCallStandsApart(t *testing.T) {
+	h := bare(t)
+	h.pending = nil
+	a, b := h.message("a", 7, 1), h.message("b", 7, 1)
+	a.Subject, b.Subject = "s", "s"
+	h.finish(a.Num, memory.Notice{})
+	open := map[string]*call{}
+	var calls []*call
+	for _, m := range []*memory.Message{h.message("c", 7, 1), b, h.message("d", 7, 1)} {
+		calls = h.send(0, time.Now(), policy.Send{ID: m.Num, Endpoint: "s-1", Timeout: time.Second}, open, calls)
+	}
+	if len(calls) != 2 || len(calls[0].items) != 2 || calls[1].items[0].id != "b" {
+		t.Errorf("%d calls", len(calls))
+	}
+	for len(h.calls) < h.set.Slots {
+		h.calls[&call{ep: calls[0].ep}] = struct{}{}
+	}
+	b.Out = nil
+	if calls = h.send(0, time.Now(), policy.Send{ID: b.Num, Endpoint: "s-1", Timeout: time.Second}, open, nil); len(calls) > 0 || len(h.pending) != 1 {
+		t.Errorf("%d calls without a slot, %v", len(calls), h.pending)
+	}
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -12,8 +12,12 @@
 	addr string
 	sock net.Conn
 	r    *bufio.Reader
+	dial dialContext // nil but in tests
 }
 
+// dialContext opens a connection as net.Dialer does.
+type dialContext func(ctx context.Context, network, addr string) (net.Conn, error)
+
 const agentDial = 2 * time.Second
 
 // ask sends one request and reads its answer within limit, or until ctx ends. Any error closes the connection.
@@ -22,7 +26,11 @@
 		p.close()
 	}
 	if p.sock == nil {
-		sock, err := (&net.Dialer{Timeout: min(limit, agentDial), KeepAlive: -1}).DialContext(ctx, "tcp", p.addr)
+		dial := p.dial
+		if dial == nil {
+			dial = (&net.Dialer{Timeout: min(limit, agentDial), KeepAlive: -1}).DialContext
+		}
+		sock, err := dial(ctx, "tcp", p.addr)
 		if err != nil {
 			return nil, &StepError{Started, err}
 		}
--- /dev/null
+++ b/internal/wire/requests.go
@@ -0,0 +1,212 @@
+package wire
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"oatfold/internal/figures"
+	"oatfold/internal/memory"
+	"oatfold/policy"
+)
+
+// This file is about what clients hand in: a message is taken on in the journal, its client is answered, and it ends once: delivered, or by an
+// outcome notification that the platform has taken.
+
+// turn is the place of a message among those of its subject, from when it is taken on until the module is told.
+type turn struct {
+	msg        *memory.Message
+	over, told bool // its client has been answered, or could not be
+}
+
+// inTurn books how the answer to a hand-in went, and tells the module of all whose turn it is. Guards against one that overtakes another of
+// its subject between its client's answer and the module, on goroutines of two connections.
+func (h *Host) inTurn(m *memory.Message, told bool) {
+	queue, ours := h.turns[m.Subject], &turn{msg: m}
+	for _, t := range queue {
+		if t.msg == m {
+			ours = t
+		}
+	}
+	if ours.over, ours.told = true, told; !slices.Contains(queue, ours) {
+		h.answered(m, told)
+		return
+	}
+	for len(queue) > 0 && queue[0].over {
+		h.answered(queue[0].msg, queue[0].told)
+		queue = queue[1:]
+	}
+	if h.turns[m.Subject] = queue; len(queue) == 0 {
+		delete(h.turns, m.Subject)
+	}
+}
+
+// answered goes on with a message whose client has been answered, or could not be.
+func (h *Host) answered(m *memory.Message, told bool) {
+	if h.table.Get(m.Num) != m {
+		return // it was not written, or is over
+	}
+	// Guards against losing what was handed in again meanwhile, and answered as taken.
+	if told || m.Asked {
+		m.New = false
+		h.onward(m, false)
+		return
+	}
+	h.end(m, true) // the client never heard of it, and may hand it in again
+	h.table.Forget(m.ID)
+}
+
+// heldReply is what a hand-in is answered with, and the message that it is about; nil where it is about none that is held.
+type heldReply struct {
+	to  chan<- verdict
+	v   verdict
+	msg *memory.Message
+}
+
+// handIn takes a message on. Its client hears of it when the turn is in the journal.
+func (h *Host) handIn(e handIn) (*memory.Message, verdict) {
+	_, elsewhere := h.elsewhere[e.msg.ID]
+	if m := h.table.ByID(e.msg.ID); m != nil || elsewhere || h.sequence.OwedElsewhere(e.msg.ID) || h.table.Over(e.msg.ID) {
+		if m != nil {
+			m.Asked = true
+		}
+		return m, verdict{known: true} // the same hand-in once more: it is taken already
+	}
+	// Guards against holding what no endpoint can ever take. Until discovery has told its list, a destination that is
+	// not among the known ones may still come.
+	if _, named := h.kinds[e.msg.Dest]; !named && h.listed {
+		return nil, verdict{nowhere: true}
+	} else if !named && len(h.kinds) > 0 {
+		return nil, h.refuse()
+	}
+	if h.table.Live() < h.set.MaxHeld {
+		e.msg.Num, e.msg.New = h.table.Next(), true
+		if h.journal.Taken(h.table, e.msg, e.msg.Effect == policy.Safe) == nil { // a full budget or disk is counted below, like a full hold
+			if s := e.msg.Subject; s != "" {
+				h.turns[s] = append(h.turns[s], &turn{msg: e.msg})
+			}
+			return e.msg, verdict{taken: true}
+		}
+	}
+	return nil, h.refuse()
+}
+
+// commit writes the turn's records, then answers its hand-ins and makes its calls. Where the disk does not take them, no
+// message was taken on and no call goes out.
+func (h *Host) commit() {
+	wall := time.Now()
+	for _, cl := range h.begun {
+		msgs := make([]*memory.Message, len(cl.items))
+		for i := range cl.items {
+			msgs[i] = h.table.Get(cl.items[i].num)
+		}
+		h.journal.Out(wall, msgs)
+	}
+	err, outErr := h.journal.Commit()
+	if err != nil {
+		for _, r := range h.replies {
+			if r.v.taken {
+				h.table.Remove(r.msg)
+				h.table.Forget(r.msg.ID)
+				h.inTurn(r.msg, false)
+			}
+		}
+	}
+	if err == nil {
+		err = h.announce()
+	}
+	for _, r := range h.replies {
+		if err == nil && r.v.taken {
+			h.logTaken(r.msg)
+			h.journal.Settle(h.table, r.msg)
+		}
+		// Guards against answering the same hand-in once more as taken while it is not.
+		if err != nil && r.msg != nil && h.table.Get(r.msg.Num) != r.msg {
+			r.v = h.refuse()
+		}
+		r.to <- r.v
+	}
+	calls := h.begun
+	h.replies, h.begun = h.replies[:0], nil
+	for _, cl := range calls {
+		if outErr != nil {
+			cl.unrecorded = true
+			h.callEnded(callEnded{call: cl, ends: alike(cl, end{outcome: policy.Unsent}), err: outErr})
+			continue
+		}
+		h.dispatch(cl)
+	}
+	if len(h.adopted) > 0 && !h.journal.Pending() {
+		for _, done := range h.adopted {
+			close(done)
+		}
+		h.adopted = nil
+	}
+}
+
+// logTaken names a message that this process owes from now on, so that one can be followed by its id through every process that held it.
+func (h *Host) logTaken(m *memory.Message) {
+	if h.log.Enabled(context.Background(), slog.LevelDebug) {
+		h.log.Debug("taken on", "message", m.ID, "dest", m.Dest, "class", m.Class, "subject", m.Subject, "left", time.Until(m.Deadline))
+	}
+}
+
+// refuse turns a hand-in away for now.
+func (h *Host) refuse() verdict {
+	h.refused++
+	v := verdict{}
+	if h.set.RetryAdvice {
+		v.retry = h.set.MaxRetryAdvice
+	}
+	return v
+}
+
+// over books that nothing more is owed for m.
+func (h *Host) over(m *memory.Message) { h.end(m, false) }
+
+// end does so; anew says that its id may be taken on again.
+func (h *Host) end(m *memory.Message, anew bool) {
+	if h.table.Get(m.Num) == m {
+		h.table.Remove(m)
+		h.journal.Over(m, anew)
+		h.noticeAnswered(m)
+	}
+}
+
+// finish ends m by a notice. It is owed until the platform has taken it, also after a restart.
+func (h *Host) finish(num uint32, n memory.Notice) {
+	m := h.table.Get(num)
+	if m == nil || m.Owed != nil {
+		return
+	}
+	if h.log.Enabled(context.Background(), slog.LevelDebug) {
+		h.log.Debug("ended by notice", "message", m.ID, "dest", m.Dest, "class", m.Class, "steps", m.Steps, "left", time.Until(m.Deadline),
+			"handed_back", n.Refused, "advice", n.Advice)
+	}
+	if n.Refused {
+		h.figures.Ended(m.Class, figures.HandedBack)
+	} else {
+		h.figures.Ended(m.Class, figures.GivenUp)
+	}
+	h.table.Owe(m, n)
+	h.journal.Owed(m)
+	h.owe(m)
+}
+
+func (h *Host) owe(m *memory.Message) {
+	h.awaitNotice(m)
+	h.unsent = append(h.unsent, owed{m.Num, m.ID, *m.Owed})
+}
+
+func (h *Host) flushNotices() {
+	for len(h.unsent) > 0 {
+		select {
+		case h.notices <- h.unsent[0]:
+			h.unsent = h.unsent[1:]
+		default:
+			return
+		}
+	}
+	h.unsent = nil
+}
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -120,6 +120,11 @@
 	idle     []*routeConn // last used last
 }
 
+// shut tells whether nothing may be written to the endpoint now: a wait was told, or it is drained or gone.
+func (ep *endpoint) shut() bool {
+	return ep.gate.closed() || policy.EndpointState(ep.state.Load()) != policy.Listed
+}
+
 // item is one message of a call.
 type item struct {
 	num     uint32
@@ -191,6 +196,7 @@
 	place       *index.Node[*routeConn] // among idle ones, owned by the host
 	answered    time.Time               // when its last answer was read; zero: it has had none
 	dialTimeout time.Duration
+	listening   *atomic.Int32                                            // connections listened to behind their calls' end; nil: not counted
 	leaving     *atomic.Int32                                            // how far the process has come in its stop, a leaveStage; nil: it does not stop
 	dial        func(addr string, limit time.Duration) (net.Conn, error) // nil but in tests
 	plugins     *plugin.Holder
@@ -202,10 +208,19 @@
 func (c *routeConn) run(events chan<- any) {
 	for cl := range c.calls {
 		res := c.carry(cl)
-		if !res.keep {
+		listen := !res.keep && c.endSending(res)
+		if !res.keep && !listen {
 			c.drop()
 		}
 		events <- res
+		if listen {
+			// Guards against a wait that crosses the end of its call: it binds from when it was written.
+			if wait := c.hearLate(); wait > 0 {
+				events <- lateWait{c.ep, wait}
+			}
+			c.drop()
+			c.endListening()
+		}
 		if !res.keep {
 			return
 		}
@@ -271,9 +286,7 @@
 		c.sock, c.r = sock, bufio.NewReaderSize(sock, maxLine)
 	}
 	stage = Dialled
-	// Guards against breaking a told wait or a drain that was learned while this call was dialled, and against a call that is cut by the
-	// process's end just after its last byte: it waits for the next start instead.
-	if c.held(cl) || cl.ep.gate.closed() || policy.EndpointState(cl.ep.state.Load()) != policy.Listed || !cl.inTime(time.Now()) {
+	if !cl.inTime(time.Now()) {
 		fail(errHeldBack)
 		return res
 	}
@@ -281,6 +294,12 @@
 	// Guards against an answer that comes in the time that is told, and that nobody waits for any more: the dial has used some of it up.
 	c.buf = appendCall(c.buf[:0], cl, time.Until(cl.deadline))
 	last := len(c.buf)
+	// Guards against breaking a told wait or a drain that was learned while this call was dialled or built, and against a call that is cut
+	// by the process's end just after its last byte: it waits for the next start instead.
+	if c.held(cl) || cl.ep.shut() {
+		fail(errHeldBack)
+		return res
+	}
 	if cl.careful > 0 {
 		last--
 	}
@@ -296,6 +315,11 @@
 			fail(errCutOff)
 			return res
 		}
+		// Guards against a wait, a drain or the process's end in the time of that look.
+		if c.held(cl) || cl.ep.shut() {
+			fail(errHeldBack)
+			return res
+		}
 		c.sock.SetReadDeadline(cl.deadline)
 		if _, err := c.sock.Write(c.buf[last:]); err != nil {
 			fail(err)
@@ -311,6 +335,8 @@
 	})
 	if a != nil {
 		stage = Answered
+		// Guards against a wait that binds only once its answer's body has come, or not at all where that is cut or spoilt.
+		res.wait = cl.ep.heed(&a.head)
 	}
 	single, first := cl.going() == 1, c.answered.IsZero()
 	if err != nil {
@@ -321,10 +347,6 @@
 		return res
 	}
 	rest := a.readRest(c.r, maxBody)
-	if w, err := number(a.get("Wait-Ms")); err == nil && w > 0 {
-		res.wait = time.Duration(min(w, maxWaitMs)) * time.Millisecond
-		cl.ep.gate.hold(res.wait)
-	}
 	res.report = loadReport(a.get("X-Backend-Load"))
 	if rest != nil && !(a.status == 200 && single) {
 		// Guards against resending a charge that was run: a refusal counts as one only if all of it could be read.
@@ -487,7 +509,6 @@
 	restLimit = 500 * time.Millisecond // for the rest of an answer, from its first line on
 	lookFor   = 4 * time.Millisecond   // before the last byte of what must not run twice, whether the connection holds
 	settle    = 10 * time.Millisecond  // from an answer to the next call on its connection
-	maxWaitMs = 600_000                // Guards against a wait that overflows
 )
 
 func earlier(a, b time.Time) time.Time {
@@ -533,20 +554,24 @@
 	"gone": {outcome: policy.Unsent, over: true}, "exhausted": {outcome: policy.Unsent},
 }
 
-// manyEnds reads the answer to several. What it does not name may have run.
+// manyEnds reads the answer to several: what it says of each message that it names once. Any other may have run.
 func manyEnds(cl *call, body []byte) []end {
 	out := alike(cl, end{outcome: policy.Errored})
-	if !gjson.ValidBytes(body) {
+	all := gjson.ParseBytes(body)
+	if !gjson.ValidBytes(body) || !all.IsArray() {
 		return out
 	}
-	told := map[string]end{}
-	for _, v := range gjson.ParseBytes(body).Array() {
+	named, told := map[string]int{}, map[string]end{}
+	for _, v := range all.Array() {
+		id := v.Get("id").Str
+		named[id]++
 		if e, ok := states[v.Get("state").Str]; ok {
-			told[v.Get("id").Str] = e
+			told[id] = e
 		}
 	}
 	for i := range cl.items {
-		if e, ok := told[cl.items[i].id]; ok {
+		id := cl.items[i].id
+		if e, ok := told[id]; ok && named[id] == 1 {
 			out[i] = e
 		}
 	}
--- a/internal/wire/watch.go
+++ b/internal/wire/watch.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,23 +20,30 @@
 
 	watchBackoff = 100 * time.Millisecond // after a failure; under the 200 ms that keep a watch going
 	watchAnew    = 50 * time.Millisecond  // the same after a silent one, which was a pause by itself
-	watchMost    = 2 * time.Second        // and after many
-	watchShare   = 25 * time.Millisecond  // of that for each relay of the fleet
-	askShare     = 100 * time.Millisecond // of discovery's time for each relay, where lists are asked for and not pushed
-	askMost      = 9 * time.Second        // before the first question: who has not asked for 10 s counts as told
+	watchShare   = 25 * time.Millisecond  // of the longest pause for each relay of the fleet
+
+	// watchMost is the pause after many failures, and half as long again at most. Guards against a change that counts as told 6 s after
+	// discovery had it, whatever failed before: a question that hangs for all of its time, fails and is followed by the longest pause ends
+	// within 5 s.
+	watchMost = 500 * time.Millisecond
+	askShare  = 100 * time.Millisecond // of discovery's time for each relay, where lists are asked for and not pushed
+	askMost   = 9 * time.Second        // before the first question: who has not asked for 10 s counts as told
+
+	// askPause is the pause after many failures where lists are asked for, unless discovery needs longer for the whole fleet.
+	askPause = time.Second
 )
 
 // watching says how a watch goes about its questions.
 type watching struct {
 	addr   string
-	have   int64         // generation of the list that the relay was given, -1: none
-	fleet  int           // relays that share discovery
-	asked  bool          // lists come only to those that ask, and discovery serves so many a second
-	seed   int64         // of this relay's own draws
-	limit  time.Duration // for an answer; 0: the usual
+	have   int64 // generation of the list that the relay was given, -1: none
+	fleet  int   // relays that share discovery
+	asked  bool  // lists come only to those that ask, and discovery serves so many a second
+	seed   int64 // of this relay's own draws
 	pauses *spread.Backoff
 	anew   *spread.Backoff
 	rested func(time.Duration) // nil but in tests: told of each pause
+	dial   dialContext         // nil but in tests
 }
 
 // first is when the first question goes out. Risk: all relays of a release start at once, discovery serves some ten of their questions
@@ -49,7 +55,9 @@
 	var first time.Duration
 	if w.asked && fleet > 1 {
 		least = min(max(watchBackoff, fleet*askShare), askMost)
-		most = 2 * askMost
+		if most = askPause; least > askPause {
+			most = 2 * askMost // so many would keep it shut
+		}
 		first = spread.Within(least, w.seed)
 	}
 	w.pauses, w.anew = spread.NewBackoff(least, most, w.seed), spread.NewBackoff(watchAnew, watchAnew, w.seed)
@@ -65,7 +73,7 @@
 // watch keeps the pool config up to date until ctx ends: the whole list first, or what has changed in the one that the relay was
 // given, then changes. A silent or failing discovery changes nothing but the log.
 func watch(ctx context.Context, w watching, events chan<- any, log *slog.Logger) {
-	p := &peer{addr: w.addr}
+	p := &peer{addr: w.addr, dial: w.dial}
 	defer p.close()
 	have, failing, told := int64(-1), false, false
 	rest(ctx, w.first())
@@ -77,7 +85,7 @@
 		if have >= 0 {
 			path = fmt.Sprintf("/v1/endpoints?from=%d&hold_ms=%d", have, watchHold.Milliseconds())
 		}
-		a, err := p.ask(ctx, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, w.addr), cmp.Or(w.limit, watchHold+watchSlack))
+		a, err := p.ask(ctx, fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, w.addr), watchHold+watchSlack)
 		silent := errors.Is(err, os.ErrDeadlineExceeded)
 		var pc memory.PoolConfig
 		if err == nil && a.status != 200 {
--- a/internal/wire/watch_test.go
+++ b/internal/wire/watch_test.go
@@ -77,3 +77,29 @@
 		t.Error("a huge fleet waits longer than any relay may")
 	}
 }
+
+// newsWithin is how long after discovery has a change, and can be reached, it counts as told.
+const newsWithin = 6 * time.Second
+
+// Whatever failed before, a question that hangs for all of its time as discovery comes back, fails and is followed by the longest pause leaves
+// time for the next one to be answered. Where lists are asked for, that holds for fleets that discovery can serve.
+func TestPausesLeaveTimeForNews(t *testing.T) {
+	const answered = 500 * time.Millisecond // that the next question may take
+	for _, asked := range []bool{false, true} {
+		for _, fleet := range []int{0, 1, 3, 8, 300, 1000} {
+			if asked && time.Duration(fleet)*askShare > askPause {
+				continue
+			}
+			w := watching{fleet: fleet, asked: asked, seed: int64(fleet)}
+			w.first()
+			var longest time.Duration
+			for range 1000 {
+				longest = max(longest, w.pauses.Failed(), w.anew.Failed())
+			}
+			hangs := max(watchHold+watchSlack, agentDial)
+			if hangs+longest+answered > newsWithin {
+				t.Errorf("fleet of %d, asked %v: a pause of %v behind a question of %v", fleet, asked, longest, hangs)
+			}
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,32 +1,38 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"oatfold/internal/pacing"
+)
 
 // Time is a moment on the caller's monotonic clock, counted from any fixed start.
 type Time = time.Duration
 
 // Settings is what a relay is told when it starts. It never changes afterwards.
 type Settings struct {
-	Senders        int           // relays that share the destinations, this one counted
-	Slots          int           // calls this relay may have out at once
-	Alone          bool          // relays may not tell one another anything
-	SlotShare      float64       // most of them that one destination may hold; 0: three quarters
-	MaxHeld        int           // messages it may hold, sent or not
-	MaxAttempts    int           // attempts for one message, unused ones counted
-	AskForList     bool          // endpoint news comes only to those that subscribe
-	AskWithin      time.Duration // an unsubscribed relay has to ask at least this often
-	RetryAdvice    bool          // clients hear Refuse.RetryAfter
-	MaxRetryAdvice time.Duration // the longest advice that a client observes
-	Tick           time.Duration // shortest time between two steps
-	ConnIdle       time.Duration // connections unused for this long close by themselves
-	RatesListed    bool          // Endpoint.Rate holds the destination's calls a second
-	ColdFrom       float64       // share of its capacity that a returning destination has at once
-	ColdTime       time.Duration // and all of it after this
-	OverloadFactor float64       // more than this multiple of its present capacity ...
-	OverloadTime   time.Duration // ... for this long knocks a cold destination over
-	KeyQuiet       time.Duration // rest of an ordered key after an attempt that may still run
-	HalvingWorth   bool          // worth halves with each further aim; else it falls evenly to the deadline
-	OverShareWorth float64       // worth of a message past its tenant's share
+	Senders        int             // relays that share the destinations, this one counted
+	Turns          pacing.Schedule // this relay's among them; the zero value: it keeps none
+	Epoch          time.Duration   // what the clock that all relays share shows at Time 0
+	Slots          int             // calls this relay may have out at once
+	Alone          bool            // relays may not tell one another anything
+	SlotShare      float64         // most of them that one destination may hold; 0: three quarters
+	MaxHeld        int             // messages it may hold, sent or not
+	MaxAttempts    int             // attempts for one message, unused ones counted
+	AskForList     bool            // endpoint news comes only to those that subscribe
+	AskWithin      time.Duration   // an unsubscribed relay has to ask at least this often
+	RetryAdvice    bool            // clients hear Refuse.RetryAfter
+	MaxRetryAdvice time.Duration   // the longest advice that a client observes
+	Tick           time.Duration   // shortest time between two steps
+	ConnIdle       time.Duration   // connections unused for this long close by themselves
+	RatesListed    bool            // Endpoint.Rate holds the destination's calls a second
+	ColdFrom       float64         // share of its capacity that a returning destination has at once
+	ColdTime       time.Duration   // and all of it after this
+	OverloadFactor float64         // more than this multiple of its present capacity ...
+	OverloadTime   time.Duration   // ... for this long knocks a cold destination over
+	KeyQuiet       time.Duration   // rest of an ordered key after an attempt that may still run
+	HalvingWorth   bool            // worth halves with each further aim; else it falls evenly to the deadline
+	OverShareWorth float64         // worth of a message past its tenant's share
 	Classes        []Class
 	Tenants        []Tenant
 	Kinds          []Kind
@@ -158,6 +164,7 @@
 // Usual is what a relay of the fleet sees of a destination in the mean, each second.
 type Usual struct {
 	Destination int
+	Endpoint    string  // a separate route that the rest is about; empty: the destination
 	Wanted      float64 // messages that come in
 	Taken       float64 // calls that the destination takes
 	Refused     float64 // calls that it turns away
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -93,6 +93,31 @@
 	}
 }
 
+// Risk: a destination fails again while it is ramped up. A relay that makes no call meanwhile hears of it, and begins its ramp anew.
+func TestNewsOfAnotherOutageInTheRamp(t *testing.T) {
+	down := FleetNews{Usual: []Usual{{Destination: 1, Wanted: 1, Failed: 2, Calls: newsCalls}}}
+	some := FleetNews{Usual: []Usual{{Destination: 1, Wanted: 1, Taken: 0.1, Failed: 2, Calls: newsCalls}}}
+	r := fleetRelay(t)
+	l := r.dests[1].lines[0]
+	r.Step(4*time.Second, []Event{down})
+	r.Step(5*time.Second, []Event{some})
+	if l.state != ramping || l.rampAt != 5*time.Second {
+		t.Fatalf("state %d, ramp begun at %v", l.state, l.rampAt)
+	}
+	r.Step(7*time.Second, []Event{some})
+	if l.state != ramping || l.rampAt != 5*time.Second {
+		t.Errorf("others get through, and state %d, ramp begun at %v", l.state, l.rampAt)
+	}
+	r.Step(9*time.Second, []Event{down})
+	if l.state != out {
+		t.Errorf("nobody gets through, and state %d", l.state)
+	}
+	r.Step(11*time.Second, []Event{some})
+	if l.state != ramping || l.rampAt != 11*time.Second {
+		t.Errorf("back, state %d, ramp begun at %v", l.state, l.rampAt)
+	}
+}
+
 // Where few calls are made at all, an outage is believed that three relays saw, or two where this one never got through; one alone is not, nor two against own calls.
 func TestVoicesOfFewCalls(t *testing.T) {
 	for _, c := range []struct {
@@ -132,3 +157,21 @@
 		t.Errorf("%v, %v a second", err, part())
 	}
 }
+
+// A line that fails while it ramps up begins its ramp anew, however few calls there were; an error that the partner answers with does not take it
+// back. Guards against relays with few calls that saw it back before it failed again, and take it for warm as it returns.
+func TestFailureBeginsTheRampAnew(t *testing.T) {
+	const since = 4 * time.Second // that the line has been ramping
+	for outcome, want := range map[Outcome]time.Duration{ConnectFailed: 0, TimedOut: 0, Broken: 0, Errored: since, Delivered: since, Rejected: since} {
+		r := fleetRelay(t)
+		r.Step(time.Second, []Event{arriving(1)})
+		l := r.dests[1].lines[0]
+		r.become(l, ramping)
+		now := time.Second + since
+		l.rampAt = now - since
+		r.Step(now, []Event{Ended{ID: 1, Endpoint: "a", Outcome: outcome, Took: 50 * time.Millisecond, Final: outcome == Delivered}})
+		if got := now - l.rampAt; got != want {
+			t.Errorf("outcome %d: the ramp has gone on for %v, want %v", outcome, got, want)
+		}
+	}
+}
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -40,6 +40,7 @@
 	OwnRate   float64       `json:"own"`
 	Demand    float64       `json:"demand"`
 	LastFresh time.Duration `json:"in"`
+	Counts    time.Duration `json:"counts,omitempty"` // left of the time for which refused calls are taken to use up the limit
 }
 
 // Learned returns what this relay knows. Lines without a call yet are left out.
@@ -62,7 +63,7 @@
 			all.Lines = append(all.Lines, Line{Endpoint: l.eps[0].Address, Gap: l.gap, CalmGap: l.calmGap, Claimed: age(l.claimed), Refused: age(l.refusedAt),
 				Wait: max(0, l.waitTil-now), State: int(l.state), Ramp: age(l.rampAt), Run: l.run, HardRun: l.hardRun, RunAt: age(l.runAt),
 				LastOK: age(l.lastOK), Bad: l.bad, Latency: l.latency, Recent: l.recent, Rate: l.rate, Told: l.told, OwnRate: l.ownRate,
-				Demand: d.demand, LastFresh: age(d.lastIn)})
+				Demand: d.demand, LastFresh: age(d.lastIn), Counts: max(0, l.countsTil-now)})
 		}
 	}
 	return all
@@ -100,7 +101,7 @@
 		l.gap, l.calmGap, l.claimed, l.refusedAt, l.waitTil = k.Gap, k.CalmGap, at(k.Claimed), at(k.Refused), max(l.waitTil, r.now+k.Wait)
 		l.rampAt, l.run, l.hardRun, l.runAt, l.lastOK, l.bad = at(k.Ramp), k.Run, k.HardRun, at(k.RunAt), at(k.LastOK), k.Bad
 		l.latency, l.recent, l.rate, l.told, l.ownRate, l.spanAt = k.Latency, k.Recent, k.Rate, k.Told, k.OwnRate, r.now
-		l.dest.demand, l.dest.lastIn = k.Demand, at(k.LastFresh)
+		l.dest.demand, l.dest.lastIn, l.countsTil = k.Demand, at(k.LastFresh), r.now+k.Counts
 		r.become(l, lineState(k.State))
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,9 +20,12 @@
 	outageRun      = 3                     // calls failed in a row that make an outage
 	outageShare    = 0.5                   // failing share of recent calls that makes one
 	unspentShare   = 0.75                  // a limit of which so much is left was not what refused a call
-	spentShare     = 0.02                  // a limit of which only so much is left is spent
 	shareWeight    = 0.08                  // weight of the latest call in that share
 	lossWeight     = 0.3                   // weight of the latest call in the share lost on idle ones
+	spentRun       = 5                     // refusals in a row by which refused calls use up a limit
+	usedTurns      = 0.5                   // messages for each turn of its own that a sender has to have
+	spentShare     = 0.02                  // a limit of which only so much is left is spent
+	noticeTime     = 50 * time.Millisecond // until a notice is answered, and its message is over, as a rule
 	downShare      = 0.2                   // failed connections answered soon: fewer tell of outages
 	latencyWeight  = 0.15                  // weight of the latest answer in the usual latency
 	doubtLatencies = 4                     // an answer this many usual latencies late raises doubt
@@ -55,7 +58,6 @@
 		eps:   map[string]*endpoint{},
 		reach: anywhere{}, noConn: map[*Kind]Time{}, soon: map[*Kind]float64{}, again: map[*Kind]float64{}}
 	r.configure(s)
-	r.trust = s.ConnIdle
 	return r, nil
 }
 
@@ -71,9 +73,10 @@
 // configure takes settings over: destinations keep their kinds, and messages what they were taken on under.
 func (r *Relay) configure(s Settings) {
 	r.set, r.aim, r.quota = s, s.Classes[0].Aim, 0
+	r.idle.Most = s.ConnIdle
 	for _, c := range s.Classes {
 		r.classes[c.Name] = &c
-		r.aim = min(r.aim, c.Aim)
+		r.aim, r.patience = min(r.aim, c.Aim), max(r.patience, c.Deadline)
 	}
 	for _, m := range r.held {
 		m.class = r.classes[m.class.Name].under(*m.class)
@@ -145,7 +148,7 @@
 	r.makeRoom()
 	r.dispatch()
 	r.closeSpare()
-	r.compact()
+	r.held = slices.DeleteFunc(r.held, func(m *message) bool { return m.answered && m.call == nil })
 	r.wake()
 	return r.acts
 }
@@ -206,7 +209,7 @@
 			d.kind = k
 		}
 		if len(d.lines) == 0 || d.kind.SeparateRoutes {
-			d.lines = append(d.lines, &line{dest: d, jitter: 1, spanAt: r.now,
+			d.lines = append(d.lines, &line{dest: d, jitter: 1, spanAt: r.now, hash: hash(d, en),
 				waitTil: max(d.waitTil, d.routes[en.Address])})
 		}
 		ep.line = d.lines[len(d.lines)-1]
@@ -298,6 +301,7 @@
 	} else {
 		r.do(Fail{m.id})
 	}
+	m.key.rest(r.now + noticeTime)
 	r.finish(m)
 }
 
@@ -355,9 +359,9 @@
 	end, spread := r.now+e.Wait, min(e.Wait, seconds(1/r.even(l)))
 	switch {
 	case shut:
-		spread = r.coldGap(l, 0) / 2
+		spread = r.coldGap(l) / 2
 	case unspent:
-		spread = min(r.coldGap(l, 0)/2, r.set.ColdTime)
+		spread = min(r.coldGap(l)/2, r.set.ColdTime)
 	}
 	r.wait(l, end, spread, shut)
 }
@@ -379,14 +383,13 @@
 func (r *Relay) fleetNews(e FleetNews) {
 	r.set.Senders = cmp.Or(e.Senders, r.set.Senders)
 	for _, u := range e.Usual {
-		d := r.dests[u.Destination]
-		if d == nil || len(d.lines) != 1 || d.kind.SeparateRoutes {
+		l, all := r.lineOf(u), u.Taken+u.Refused+u.Failed
+		if l == nil {
 			continue
 		}
-		l, all := d.lines[0], u.Taken+u.Refused+u.Failed
 		l.usual, l.heardAt = u, r.now
 		if u.Wait > 0 && u.Taken == 0 { // nobody gets through: it binds all of them
-			r.wait(l, r.now+u.Wait, r.coldGap(l, 0)/2, true)
+			r.wait(l, r.now+u.Wait, r.coldGap(l)/2, true)
 		}
 		switch {
 		case l.state == out && u.Taken > 0:
@@ -394,7 +397,7 @@
 			r.stateOf(l)
 			// Risk: all hear of it at once, each with a slot free: first calls are spread over one.
 			l.claimed, l.jitter = r.now-part(r.slot(l), r.rng.Float64()), 1
-		case l.state == healthy && u.Taken == 0 && u.Voices != 1 && u.Failed > outageShare*all &&
+		case l.state != out && u.Taken == 0 && u.Voices != 1 && u.Failed > outageShare*all &&
 			r.now-l.lastOK > newsSpan && (u.Calls >= newsCalls || l.hardRun > 0 && u.Calls > 1 ||
 			u.Voices > 2 || l.lastOK == 0 && u.Voices > 1):
 			// Risk: relays that did not see the outage send as if it were warm when it returns.
@@ -411,7 +414,7 @@
 // if that is more. Risk: with hundreds of senders an even part is less than one call in a client's patience,
 // while most of them have nothing to send; what comes in at all of them adds up to what the line can expect.
 func (r *Relay) share(l *line) float64 {
-	return max(r.even(l), l.dest.demand/float64(len(l.dest.lines)))
+	return max(r.even(l), l.dest.demand/float64(len(l.dest.lines)*max(1, l.dest.kind.Batch)))
 }
 
 func (r *Relay) even(l *line) float64 {
@@ -441,18 +444,18 @@
 	return r.turnGap(l)
 }
 
-// counts tells whether refused calls seem to use up the limits of the line's kind: hardly a call that came
-// within an aim of a refusal is taken.
-func (r *Relay) counts(l *line) bool { return r.again[l.dest.kind] < downShare }
+// counts tells whether refused calls seem to use up the line's limit: of late so many in a row were refused
+// that it would have taken one, or at its kind hardly a call that came soon after a refusal was taken.
+func (r *Relay) counts(l *line) bool {
+	return r.now < l.countsTil || r.again[l.dest.kind] < downShare
+}
 
-// coldGap is the slot for a line that is out, or ramping since rampAt; ahead looks into the future.
-func (r *Relay) coldGap(l *line, ahead time.Duration) time.Duration {
-	t := ahead
+// coldGap is the slot for a line that is out, or ramping since rampAt.
+func (r *Relay) coldGap(l *line) time.Duration {
+	warm := max(r.set.ColdFrom, 0.05)
 	if l.state == ramping {
-		t += r.now - l.rampAt
+		warm = min(1, warm+(1-warm)*float64(r.now-l.rampAt)/float64(max(r.set.ColdTime, 1)))
 	}
-	from := max(r.set.ColdFrom, 0.05)
-	warm := min(1, from+(1-from)*float64(t)/float64(max(r.set.ColdTime, 1)))
 	if l.usual.Allowed > 0 {
 		return seconds(1 / (l.usual.Allowed * warm * coldNews)) // not by demand: that may be more
 	}
@@ -467,7 +470,7 @@
 	}
 	switch {
 	case l.state != healthy:
-		g = max(g, r.coldGap(l, 0))
+		g = max(g, r.coldGap(l))
 	case r.doubt(l):
 		g = max(g, r.turnGap(l))
 	}
@@ -498,7 +501,7 @@
 	} else if c.again && e.Outcome == Rejected && e.Report != nil && e.Report.Left < spentShare {
 		r.again[l.dest.kind] -= again * lossWeight
 	}
-	if r.weigh(c, e.Outcome) {
+	if r.stale(c, e.Outcome == TimedOut || e.Outcome == Broken) {
 		return // the connection was stale, the line may be well
 	}
 	switch e.Outcome {
@@ -527,8 +530,7 @@
 }
 
 func (r *Relay) success(l *line, ep *endpoint, took time.Duration) {
-	l.served++
-	l.dest.price *= cutPerSuccess
+	l.served, l.dest.price = l.served+1, l.dest.price*cutPerSuccess
 	if ep.noConnAt > 0 && r.now-ep.noConnAt < r.set.Classes[0].Aim {
 		ep.noConnAt = 0
 		r.soon[l.dest.kind] += (1 - r.soon[l.dest.kind]) * lossWeight
@@ -536,7 +538,9 @@
 	l.run, l.hardRun, l.lastOK, ep.fails = 0, 0, r.now, 0
 	ep.whim = min(ep.whim, unusedCost*r.rng.Float64())
 	l.bad -= l.bad * shareWeight
-	l.gap = min(part(l.gap, cutPerSuccess), r.fairGap(l))
+	if l.gap = part(l.gap, cutPerSuccess); l.told || !r.counts(l) {
+		l.gap = min(l.gap, r.fairGap(l))
+	}
 	if l.gap < r.set.Tick {
 		l.gap = 0
 	}
@@ -563,6 +567,9 @@
 		l.runAt = r.now
 	}
 	never := o == Rejected || o == ConnectFailed
+	if o == Rejected && l.hardRun == 0 && l.run >= spentRun {
+		l.countsTil = r.now + rateMemory
+	}
 	if c.sentAt < l.grownAt || !never && l.run < outageRun {
 		return
 	}
@@ -573,16 +580,21 @@
 		return
 	}
 	down := o == ConnectFailed && (r.soon[l.dest.kind] < downShare || r.now-c.sentAt >= r.atOnce)
-	if l.gap == 0 && !down {
+	if l.gap == 0 && !down { //first
 		if l.gap = fair; !r.counts(l) {
 			l.gap = min(max(seconds(1/(r.even(l)*float64(r.set.Senders))), r.turn), fair)
 		}
 		return
 	}
-	fair = max(fair, r.coldGap(l, 0))
-	l.gap = min(growth*l.gap, max(fair, l.gap))
-	if down {
+	fair = max(fair, r.coldGap(l))
+	switch {
+	case down:
 		l.gap = fair
+	case o == Rejected && r.counts(l):
+		// Risk: a bound by what is offered keeps all senders above the limit, and nothing gets through.
+		l.gap = min(2*l.gap, r.patience)
+	default:
+		l.gap = min(growth*l.gap, max(fair, l.gap))
 	}
 }
 
@@ -604,7 +616,9 @@
 		return
 	}
 	r.grow(l, c, o)
-	l.hardRun++
+	if l.hardRun++; o != Errored {
+		l.rampAt = r.now // Risk: who saw it back before it failed again takes it for warm
+	}
 	l.bad += (1 - l.bad) * shareWeight
 }
 
@@ -620,7 +634,9 @@
 		r.become(l, ramping)
 		// Risk: an outage takes all endpoints, and its failures keep the work on the one that answered first,
 		// with the long slot of the trickle: coldGap alone bounds what a line that is back is sent.
-		l.gap = min(l.gap, l.calmGap)
+		if !r.counts(l) {
+			l.gap = min(l.gap, l.calmGap)
+		}
 		for _, ep := range l.eps {
 			ep.fails = 0
 		}
@@ -678,7 +694,21 @@
 	if l.claimed == 0 {
 		return l.waitTil
 	}
-	return max(l.waitTil, l.nextAt, l.claimed+part(r.slot(l), l.jitter))
+	slot, from := r.slot(l), max(l.waitTil, l.nextAt)
+	if !r.takesTurns(l, slot) {
+		return max(from, l.claimed+part(slot, l.jitter))
+	}
+	step := r.set.Turns.Step(slot)
+	from = max(from, l.claimed+part(slot, 0.9), r.now-max(step, 2*r.set.Tick)) // one just begun will do
+	return r.set.Turns.Next(from+r.set.Epoch, step, l.hash) - r.set.Epoch
+}
+
+// takesTurns tells whether this sender calls the line in turns of its own. Risk: where refused calls use up a
+// limit, those of many senders that come close together refuse one another, however few they are. One with
+// little to send would leave most of its turns unused, and wait for them.
+func (r *Relay) takesTurns(l *line, slot time.Duration) bool {
+	inTurn := slot.Seconds() * l.dest.demand / float64(len(l.dest.lines))
+	return r.counts(l) && l.state != ramping && slot >= r.turn/4 && inTurn >= usedTurns
 }
 
 // shed ends messages whose time is nearly up or that may not be tried again, and refuses at once what would
@@ -686,10 +716,11 @@
 // Tenants past their share give way first. Risk: clients of little patience look as if they came late, so
 // only what is lost here counts. Risk: a burst's backlog that never drains. Where call slots are short, every
 // late message delays all others for as long as that lasts, taken to last half as long again; then one
-// gives way once its worth is under what that delay costs. Risk: patient messages fill a queue that lasts,
-// and what is wanted soon finds it full. So where relays may not tell one another of a destination, each one
-// turned away sets a price for waiting there, in worth; successes lower it. What a restart found untried was
-// promised before, and is tried while it has time.
+// gives way once its worth is under what that delay costs. Risk: messages that are never late enough fill a
+// queue that lasts, and all are as late as can be. So each one turned away for its lateness sets a price for
+// waiting there, in worth; successes lower it. Risk: a price that raises itself. Where relays hear of one
+// another only lateness counts, and only classes that the bound never turns away have a price; a plan for
+// sites has its own order. What a restart found untried is tried while it has time.
 func (r *Relay) shed() {
 	span := r.now - r.shedAt
 	if r.shedAt = r.now; r.calls < r.set.Slots {
@@ -704,6 +735,7 @@
 			continue
 		}
 		if m.deadline-r.now <= 2*r.set.Tick || !r.mayRepeat(m) {
+			m.dest.turnedAway(m, false)
 			r.answer(m, r.set.MaxRetryAdvice)
 			continue
 		}
@@ -726,9 +758,13 @@
 		if m.extra && wait > m.class.Aim {
 			worth *= r.set.OverShareWorth
 		}
-		low := r.set.Alone && wait > 0 && m.class.Worth*worth < d.price
-		if (worth < min(bound, 1) || low) && m.mayRefuse() && !m.owedTry() {
-			d.price += max(0, m.class.Worth-d.price) * lossWeight
+		late := worth < min(bound, 1)
+		priced := r.set.Alone || r.reach == anywhere{} && m.class.LateWorth > worthWhile
+		low := priced && wait > 0 && m.class.Worth*worth < d.price
+		if (late || low) && m.mayRefuse() && !m.owedTry() {
+			if late || r.set.Alone {
+				d.turnedAway(m, r.set.Alone)
+			}
 			r.answer(m, wait)
 			d.queue--
 			all--
@@ -736,21 +772,6 @@
 	}
 }
 
-// worthAt is the share of its worth that m has left at the given time.
-func (r *Relay) worthAt(m *message, at Time) float64 {
-	c := m.class
-	late := float64(at - m.aimAt)
-	switch {
-	case late <= 0:
-		return 1
-	case at >= m.deadline:
-		return 0
-	case r.set.HalvingWorth:
-		return max(c.LateWorth, math.Exp2(-late/float64(c.Aim)))
-	}
-	return 1 - (1-c.LateWorth)*late/float64(c.Deadline-c.Aim)
-}
-
 // makeRoom keeps the hold from filling: of the longest queue, and of tenants past their share first, that
 // message gives way which is worth least now. Risk: a full hold turns away messages for healthy destinations.
 func (r *Relay) makeRoom() {
@@ -813,54 +834,35 @@
 
 // fill takes further waiting messages into the call, up to the kind's batch, and tells until when it may
 // last. Risk: a message that is ended while its call runs on takes the others' answer with it. So none may
-// run out of time before its call does, and none is cut short by another.
+// run out of time before its call is due, a while that is shorter where the destination is not known yet.
+// Risk: limited calls that each carry one message which is nearly out of time; one that would keep others
+// out of its call gives way to a call of several.
 func (r *Relay) fill(m *message, ep *endpoint, rest []*message) ([]*message, Time) {
-	batch, until, need := []*message{m}, m.deadline, r.need(m, ep.line)
+	due := r.now + r.overdue(ep.line)
+	if ep.line.latency == 0 {
+		due = r.now + r.turn
+	}
+	batch, until := []*message{m}, m.deadline
 	for _, o := range rest {
 		if len(batch) >= m.dest.kind.Batch {
 			break
 		}
-		if o.dest == m.dest && r.eligible(o) && r.open(o, ep) && r.suits(o, ep.line) {
-			if u, n := min(until, o.deadline), max(need, r.need(o, ep.line)); u-r.now >= n {
-				batch, until, need = append(batch, o), u, n
-			}
+		if o.dest != m.dest || o.deadline < due || !r.eligible(o) || !r.open(o, ep) || !r.suits(o, ep.line) {
+			continue
+		}
+		if until < due {
+			batch, until = nil, o.deadline
 		}
+		batch, until = append(batch, o), min(until, o.deadline)
+	}
+	if len(batch) < 2 {
+		return []*message{m}, m.deadline
 	}
 	return batch, until
 }
 
-// need is how long a call with m has to last at least.
-func (r *Relay) need(m *message, l *line) time.Duration {
-	return min(r.timeout(m, l), max(m.class.Aim, 2*r.overdue(l)))
-}
-
-// trusted is how long a connection may be unused and still carry a call. Risk: something on the way drops
-// idle connections unseen, and what is sent on one is lost, perhaps done. Calls lost on one unused for a
-// while, when most such are lost and others are not, cut the trust to half; it doubles again in rateMemory.
-func (r *Relay) trusted() time.Duration {
-	grown := float64(r.trust) * math.Exp2((r.now-r.trustAt).Seconds()/rateMemory.Seconds())
-	return time.Duration(min(grown, float64(r.set.ConnIdle)))
-}
-
-// weigh takes a call's outcome into the trust in idle connections, and tells whether a loss is explained by
-// its connection. Calls on connections that were new or busy tell how many are lost for other reasons.
-func (r *Relay) weigh(c *call, o Outcome) bool {
-	lost := 0.0
-	if o == TimedOut || o == Broken {
-		lost = 1
-	}
-	if c.idle == 0 {
-		r.lostFresh += (lost - r.lostFresh) * lossWeight
-		return false
-	}
-	r.lostIdle += (lost - r.lostIdle) * lossWeight
-	known := r.trusted() < r.set.ConnIdle/2
-	if lost > 0 && r.lostIdle > outageShare && r.lostIdle > 2*r.lostFresh {
-		r.trust, r.trustAt, r.lostIdle = min(r.trusted(), c.idle/2), r.now, 0
-		known = true
-	}
-	return known && lost > 0
-}
+// stale tells whether a call's loss is explained by its connection, which had been unused for long.
+func (r *Relay) stale(c *call, lost bool) bool { return r.idle.Ended(r.now, c.idle, lost) }
 
 // closeSpare gives connections back as soon as they carry no call, where an endpoint of the kind took none of
 // late. Risk: hundreds of relays that each keep an idle connection fill an endpoint's table.
@@ -959,7 +961,7 @@
 	if ep.far { // Risk: a subset that is sick or full; one beyond it costs as much as two more calls here
 		cost += 2/float64(r.set.Slots) + 3*unusedCost
 	}
-	if ep.calls == 0 && !(r.warm(ep) && r.now-ep.lastUsed < r.trusted()) {
+	if ep.calls == 0 && !(r.warm(ep) && r.now-ep.lastUsed < r.idle.Limit(r.now)) {
 		cost += unusedCost
 	}
 	return cost + ep.whim + r.reach.Cost(ep.Zone)
@@ -974,7 +976,7 @@
 		l.nextAt = r.now + 1 // what else goes there in this step would join the call
 	}
 	if idle := r.now - ep.lastUsed; ep.calls == 0 && r.warm(ep) {
-		if limit := r.trusted(); idle < limit && (idle < limit/2 || batch[0].class.Effect != Unsafe) {
+		if limit := r.idle.Limit(r.now); idle < limit && (idle < limit/2 || batch[0].class.Effect != Unsafe) {
 			c.idle = idle
 		} else {
 			r.do(CloseIdle{ep.Address})
@@ -1028,10 +1030,6 @@
 
 // --- housekeeping ---
 
-func (r *Relay) compact() {
-	r.held = slices.DeleteFunc(r.held, func(m *message) bool { return m.answered && m.call == nil })
-}
-
 // wake asks for the next step: when a slot, a wait, a quiet time or a deadline ends.
 func (r *Relay) wake() {
 	at := Time(math.MaxInt64)
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,10 +4,15 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"io"
 	"maps"
+	"math"
 	"math/rand"
 	"slices"
 	"time"
+
+	"oatfold/internal/keepalive"
 )
 
 // message is a message that this relay owes an answer for, or has an attempt out for.
@@ -46,6 +51,13 @@
 	quietBy *message
 }
 
+// rest keeps the key's messages until that time. No key has nothing to keep.
+func (k *key) rest(til Time) {
+	if k != nil {
+		k.quiet = max(k.quiet, til)
+	}
+}
+
 type tenant struct {
 	Tenant
 	tokens  float64
@@ -77,11 +89,13 @@
 // line is what has one slot: a destination, or a route of one where routes are apart.
 type line struct {
 	dest             *destination
+	hash             uint64 // of what it is named by, alike at all relays
 	eps              []*endpoint
 	calls            []*call
 	gap              time.Duration // the slot's length
 	calmGap          time.Duration // and as of the last success outside an outage
 	claimed, grownAt Time
+	countsTil        Time // until then, refused calls are taken to use up its limit
 	refusedAt        Time
 	jitter           float64
 	waitTil          Time // end of a told wait
@@ -139,16 +153,14 @@
 	askTries, done  int
 	shedAt, paceAt  Time
 	pace            float64           // messages a second that attempts have ended for
+	again           map[*Kind]float64 // share of calls soon after a refusal that were taken
 	soon            map[*Kind]float64 // share of failed connections after which the endpoint answered within the aim
 	noConn          map[*Kind]Time    // when one of its endpoints last took no connection
 	spare           []*endpoint       // whose calls have ended in this step
-	trust           time.Duration     // for how long an unused connection was taken to live, as of trustAt
-	trustAt         Time
-	lostIdle        float64           // share of calls lost, of late, on connections that had been unused
-	lostFresh       float64           // and on others
+	idle            keepalive.Trust   // in connections that were unused for a while
 	short           time.Duration     // for how long call slots have been short, of late
 	aim             time.Duration     // the shortest aim
-	again           map[*Kind]float64 // share of calls soon after a refusal that were taken
+	patience        time.Duration     // the longest deadline
 	turn            time.Duration     // the first slot: a few attempts fit into the shortest aim
 	atOnce          time.Duration     // a connection that fails within it was refused, not left unanswered
 	out             []*call           // the calls that are out
@@ -159,6 +171,17 @@
 	reach           Reach
 }
 
+// hash is a number for a line that all relays make alike.
+func hash(d *destination, en Endpoint) uint64 {
+	h := fnv.New64a()
+	if d.kind.SeparateRoutes {
+		io.WriteString(h, en.Address)
+	} else {
+		fmt.Fprint(h, d.id)
+	}
+	return h.Sum64()
+}
+
 func without[T comparable](list []T, x T) []T {
 	return slices.DeleteFunc(list, func(y T) bool { return x == y })
 }
@@ -206,6 +229,21 @@
 	return rate*max(0, 1-(r.now-last).Seconds()/w) + 1/w
 }
 
+// worthAt is the share of its worth that m has left at the given time.
+func (r *Relay) worthAt(m *message, at Time) float64 {
+	c := m.class
+	late := float64(at - m.aimAt)
+	switch {
+	case late <= 0:
+		return 1
+	case at >= m.deadline:
+		return 0
+	case r.set.HalvingWorth:
+		return max(c.LateWorth, math.Exp2(-late/float64(c.Aim)))
+	}
+	return 1 - (1-c.LateWorth)*late/float64(c.Deadline-c.Aim)
+}
+
 // owedTry tells whether m was taken on by an earlier process and has not been tried yet.
 func (m *message) owedTry() bool { return m.kept && m.tries == 0 }
 
@@ -233,6 +271,17 @@
 	}
 }
 
+// lineOf is the line that news tell of; nil: none that this relay knows.
+func (r *Relay) lineOf(u Usual) *line {
+	if ep := r.eps[u.Endpoint]; ep != nil && ep.dest.kind.SeparateRoutes {
+		return ep.line
+	}
+	if d := r.dests[u.Destination]; u.Endpoint == "" && d != nil && len(d.lines) == 1 && !d.kind.SeparateRoutes {
+		return d.lines[0]
+	}
+	return nil
+}
+
 func (r *Relay) dest(id int) *destination {
 	d := r.dests[id]
 	if d == nil {
@@ -336,3 +385,11 @@
 	}
 	return part(min(advice, part(r.set.MaxRetryAdvice, 0.75)), 1+r.rng.Float64()/3)
 }
+
+// turnedAway books that the destination could not be sent a message in time: what waits for it has to be worth more. A message past its
+// tenant's share counts where any says so.
+func (d *destination) turnedAway(m *message, any bool) {
+	if any || !m.extra {
+		d.price += max(0, m.class.Worth-d.price) * lossWeight
+	}
+}
