Book off what is taken over from a fallen room before leaving, so no charge runs twice

Followed by id through every process that held them: a charge stood untried in the room of a process that was killed; its heir adopted and delivered it; the process after that found the old room again and ran it once more. Cause: heir.wait returned as soon as the process was told to leave (internal/daemon/upgrade.go), while the host had adopted the part: the message went on here, and its room still said that it was never tried. Change: what was adopted is waited for unless the disk takes no records, and booked off; an interrupted process does not say that all is taken over. The same could follow from a kill between the two journals, so rooms that fall together are read together and the latest account counts (inherit.go), a gift that was ended elsewhere does not run, a fallen room names its heir and is not read while the heir's room is still locked (rooms/claim.go), and the module hears nothing of messages that ended before its step.

--- /dev/null
+++ b/internal/daemon/inherit_test.go
@@ -0,0 +1,238 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"oatfold/internal/handover"
+	"oatfold/internal/handover/rooms"
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/internal/wire"
+)
+
+// account is what a process that is gone has left of the charge "m" in its room, and who was taking that room over.
+type account struct {
+	heir    string // "-": nobody
+	steps   int
+	over    bool // delivered
+	owed    bool // handed back, and the platform has yet to hear of it
+	nothing bool // it knows nothing of the charge
+}
+
+// charge returns the charge "m" after so many calls, none of which has run.
+func charge(num uint32, steps int) *memory.Message {
+	return &memory.Message{Num: num, ID: "m", Class: "fee", Dest: 1, Body: []byte("x"), Deadline: time.Now().Add(time.Hour), Steps: steps}
+}
+
+// leave writes a room as its process left it, with its lock fallen.
+func (a account) leave(t *testing.T, dir, name string) {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	folder, err := rooms.Open(dir, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	room, err := folder.Home(name == "")
+	if err != nil || room.Name != name {
+		t.Fatalf("room %q, want %q: %v", room.Name, name, err)
+	}
+	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(room.Path), Budget: 1 << 20, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := charge(7, a.steps)
+	if a.owed {
+		m.Owed = &memory.Notice{Refused: true}
+	}
+	if !a.nothing {
+		kept.Kept(table, m)
+	}
+	if a.over {
+		table.Remove(m)
+		kept.Over(m, false)
+	}
+	if _, err := kept.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	if a.heir != "-" {
+		if err := room.Claim(&rooms.Room{Name: a.heir}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kept.Close()
+	folder.Leave(room, false)
+}
+
+// found tells what a room's journal still holds of "m".
+func found(t *testing.T, dir string) *memory.Message {
+	t.Helper()
+	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(dir), Budget: 1 << 20, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	return table.ByID("m")
+}
+
+// Several rooms fall together, since each heir died before it had booked off what it took over. Whatever their names, the latest account
+// counts: what one of them has ended does not run once more.
+func TestRoomsThatFallTogether(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		left []account // of the state folder, life-1, life-2
+		held int       // messages that the heir goes on with, notices among them
+		want int       // calls that it knows of
+	}{
+		{"delivered by the heir", []account{{heir: "life-1"}, {heir: "-", over: true}}, 0, 0},
+		{"delivered by the process before", []account{{heir: "-", over: true}, {heir: ""}}, 0, 0},
+		{"called by the heir", []account{{heir: "life-1"}, {heir: "-", steps: 1}}, 1, 1},
+		{"handed back by the heir", []account{{heir: "life-1"}, {heir: "-", owed: true}}, 1, 0},
+		{"delivered by the heir's heir", []account{{heir: "life-1"}, {heir: "life-2"}, {heir: "-", over: true}}, 0, 0},
+		{"booked off by the heir's heir", []account{{heir: "life-1"}, {heir: "life-2", steps: 2}, {heir: "-", nothing: true}}, 1, 2},
+		{"tried by nobody", []account{{heir: "life-1"}, {heir: "-", nothing: true}}, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			for n, a := range c.left {
+				name := ""
+				if n > 0 {
+					name = fmt.Sprint("life-", n)
+				}
+				a.leave(t, dir, name)
+			}
+			h := startHeir(t, dir)
+			_, fallen, err := h.folder.Others(h.room)
+			if err != nil || len(fallen) != len(c.left) {
+				t.Fatal(fallen, err)
+			}
+			all, live := h.read(fallen), 0
+			for _, i := range all { // a host that sends already takes the first account that it is told
+				live += len(i.table.All())
+			}
+			if live != c.held {
+				t.Errorf("%d accounts are told, want %d", live, c.held)
+			}
+			h.inherit(all)
+			if held, _ := h.host.Load(); held != c.held {
+				t.Errorf("%d held, want %d", held, c.held)
+			}
+			if left, fallen, err := h.folder.Others(h.room); err != nil || len(left)+len(fallen) > 0 {
+				t.Errorf("rooms stay: %v, %v, %v", left, fallen, err)
+			}
+			if c.held > 0 {
+				if steps := steps(t, h); steps != c.want {
+					t.Errorf("%d calls are known, want %d", steps, c.want)
+				}
+			}
+		})
+	}
+}
+
+// steps asks for the calls of "m" that the heir knows of, as it would tell the process after it.
+func steps(t *testing.T, h *heir) (steps int) {
+	t.Helper()
+	h.host.Do(func(*wire.Host) {}) // what was adopted is in the journal
+	m := found(t, h.room.Path)
+	if m == nil {
+		t.Fatal("it is not in the heir's journal")
+	}
+	return m.Steps
+}
+
+// A room whose messages went on in one that can't be read is left alone.
+func TestUnreadableHeirKeepsItsSource(t *testing.T) {
+	dir := t.TempDir()
+	account{heir: "life-1"}.leave(t, dir, "")
+	h := startHeir(t, dir)
+	h.folder.Leave(h.room, false) // the room "life-1" falls
+	fallen := []*rooms.Room{{Name: "", Path: dir}, {Name: "life-1", Path: h.room.Path + "/gone"}}
+	if err := fallen[0].Claim(fallen[1]); err == nil {
+		t.Fatal("a room that is not locked takes a word")
+	}
+	if all := h.read(fallen); len(all) > 0 {
+		t.Errorf("%d rooms are read", len(all))
+	}
+}
+
+// A process that has to leave while it takes a room over books off what it has taken. Forced: its host stands still between the part that it
+// adopts and the write to the journal, until the process was told to leave.
+func TestLeavesInTheMiddleOfARoom(t *testing.T) {
+	dir := t.TempDir()
+	account{heir: "-"}.leave(t, dir, "")
+	h := startHeir(t, dir)
+	ctx, leave := context.WithCancel(context.Background())
+	h.ctx = ctx
+	_, fallen, err := h.folder.Others(h.room)
+	if err != nil || len(fallen) != 1 {
+		t.Fatal(fallen, err)
+	}
+	all := h.read(fallen)
+	queued := func(n int) {
+		t.Helper()
+		for bound := time.Now().Add(10 * time.Second); len(h.host.Events()) < n; time.Sleep(100 * time.Microsecond) {
+			if time.Now().After(bound) {
+				t.Fatalf("%d of %d events came", len(h.host.Events()), n)
+			}
+		}
+	}
+	stop := func() (stopped, goOn chan struct{}) {
+		stopped, goOn = make(chan struct{}), make(chan struct{})
+		go h.host.Do(func(*wire.Host) { close(stopped); <-goOn })
+		return stopped, goOn
+	}
+	before, adopts := stop()
+	<-before
+	done := make(chan error, 1)
+	go func() { done <- h.adopt(all[0]) }()
+	queued(1)
+	behind, writes := stop()
+	queued(2)
+	close(adopts)
+	<-behind
+	write := sync.OnceFunc(func() { close(writes) })
+	defer write()
+	leave()
+	queued(1) // it asks whether the journal takes records
+	write()
+	<-done
+	all[0].journal.Close()
+	if held, _ := h.host.Load(); held != 1 {
+		t.Fatalf("%d held", held)
+	}
+	if m := found(t, dir); m != nil {
+		t.Errorf("its room still says of it that it was never tried: %+v", m)
+	}
+}
+
+// A gift that a process ended, and had not booked when it died, does not run once more.
+func TestGiftThatWasEnded(t *testing.T) {
+	for what, c := range map[string]struct {
+		account
+		held int
+	}{"delivered": {account{heir: "-", over: true}, 0}, "handed back": {account{heir: "-", owed: true}, 1}} {
+		t.Run(what, func(t *testing.T) {
+			dir := t.TempDir()
+			c.leave(t, dir, "")
+			h := startHeir(t, dir)
+			news := handover.News{}
+			if err := h.folder.Give(journal.Give([]*memory.Message{charge(7, 0)}, news.Encode())); err != nil {
+				t.Fatal(err)
+			}
+			h.take()
+			if held, _ := h.host.Load(); held != c.held {
+				t.Errorf("%d held, want %d", held, c.held)
+			}
+			if m := found(t, h.room.Path); m != nil && m.Owed == nil {
+				t.Errorf("it is still to be run: %+v", m)
+			}
+			if given := h.folder.Given(); len(given) > 0 {
+				t.Errorf("%v stay in the spool", given)
+			}
+		})
+	}
+}
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -40,10 +40,9 @@
 	}
 	// Guards against a message that is in a room and was given as well: the gift is taken first. All that the process of a fallen room gave is there.
 	h.spool(leaving)
-	for _, r := range fallen {
-		if err := h.inherit(r); err != nil {
-			h.log.Error("a room is not taken over", "room", r.Path, "err", err) // its lock stays with this process
-		}
+	h.inherit(h.read(fallen))
+	if h.ctx.Err() != nil {
+		return leaving // Guards against the word that all is here, which lets later messages of a subject pass what is left in a room
 	}
 	if !leaving {
 		for _, name := range h.latest {
@@ -73,6 +72,9 @@
 		case <-time.After(heirTurn):
 		}
 	}
+	if h.ctx.Err() != nil {
+		return
+	}
 	clients, idle := sockets(h.c)
 	h.host.Idle(idle)
 	h.front.Load().Configure(&h.c.Settings, clients)
@@ -80,13 +82,24 @@
 	h.log.Info("the process before has left, all is taken over")
 }
 
-// wait waits until something taken over is in the journal, or until this process has to leave itself.
+// wait waits until something taken over is in the journal. Where this process has to leave itself it waits on, but not for a disk that takes no
+// records. Guards against a message that goes on from here while its room says that it was never tried.
 func (h *heir) wait(done <-chan struct{}) bool {
 	select {
 	case <-done:
 		return true
 	case <-h.ctx.Done():
-		return false
+	}
+	for {
+		records := h.host.TakesRecords()
+		select {
+		case <-done:
+			return true
+		default:
+		}
+		if !records {
+			return false
+		}
 	}
 }
 
@@ -145,44 +158,6 @@
 	}
 }
 
-// inherit takes over the room of a process that is gone, part by part.
-func (h *heir) inherit(r *rooms.Room) error {
-	j, table, err := journal.Open(journal.Config{FS: journal.Dir(r.Path), Budget: h.disk() - h.folder.Used(r), Log: h.log, Inline: true})
-	if err != nil {
-		return err
-	}
-	defer j.Close()
-	var all []*memory.Message
-	for _, m := range table.All() {
-		all = append(all, m)
-	}
-	slices.SortFunc(all, func(a, b *memory.Message) int { return int(int64(a.Num) - int64(b.Num)) })
-	for len(all) > 0 {
-		n, size := 0, 0
-		var part []*memory.Message
-		for most := int(handover.Part(h.free())); n < len(all) && (n == 0 || size+all[n].Size() <= most); n++ {
-			m := *all[n] // the other journal has a number of its own for it
-			part, size = append(part, &m), size+m.Size()
-		}
-		if !h.wait(h.host.Adopt(wire.Passed{Msgs: part})) {
-			return h.ctx.Err()
-		}
-		for _, m := range all[:n] {
-			table.Remove(m)
-			table.Forget(m.ID)
-			j.Over(m, true) // so that its room gives way to the next part
-		}
-		if _, err := j.Commit(); err != nil {
-			h.log.Warn("a room's journal takes no records as it is taken over", "room", r.Path, "err", err)
-		}
-		all = all[n:]
-	}
-	if !h.wait(h.host.Adopt(wire.Passed{Overs: table.OverIDs()})) {
-		return h.ctx.Err()
-	}
-	return h.folder.Clear(r)
-}
-
 // free is what is free of the disk, over all processes.
 func (r *relay) free() int64 { return r.c.DiskBytes - r.folder.Used(nil) }
 
--- /dev/null
+++ b/internal/handover/rooms/claim.go
@@ -0,0 +1,51 @@
+package rooms
+
+import (
+	"slices"
+	"strings"
+)
+
+// claimPrefix begins the word in the lock file of a room that another process is taking over. The name of that process's room follows.
+const claimPrefix = "heir:"
+
+// Claim notes in r, whose process is gone, that the process of heir takes it over. From then on messages of r may go on in heir: whoever
+// comes after that process has to read both.
+func (r *Room) Claim(heir *Room) error {
+	r.heir, r.claimed = heir.Name, true
+	return r.Say(claimPrefix + heir.Name)
+}
+
+// Heir names the room of the process that was taking r over when it ended; false if none was.
+func (r *Room) Heir() (name string, claimed bool) { return r.heir, r.claimed }
+
+// claim returns what Claim has noted in the room of that name. A room without a journal was taken over whole.
+func (f *Folder) claim(name string) (heir string, claimed bool) {
+	heir, claimed = strings.CutPrefix(f.Said(name), claimPrefix)
+	return heir, claimed && len(f.files(name)) > 0
+}
+
+// readable gives back the rooms that can't be read yet, and returns the others, each before the room of its heir. Guards against a room that
+// its heir had emptied in part: what became of its messages is in the heir's own room, whose lock falls a moment later.
+func (f *Folder) readable(fallen []*Room, held []string) []*Room {
+	fallen = slices.DeleteFunc(fallen, func(r *Room) bool {
+		early := r.claimed && slices.Contains(held, r.heir) && f.Said(r.heir) == Serving
+		if early {
+			r.lock.Close()
+		}
+		return early
+	})
+	slices.SortStableFunc(fallen, func(a, b *Room) int { return heirs(b, fallen) - heirs(a, fallen) })
+	return fallen
+}
+
+// heirs counts the rooms among all that took r over, one after another.
+func heirs(r *Room, all []*Room) (n int) {
+	for ; r.claimed && n < len(all); n++ {
+		at := slices.IndexFunc(all, func(o *Room) bool { return o.Name == r.heir })
+		if at < 0 {
+			return n
+		}
+		r = all[at]
+	}
+	return n
+}
--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -46,6 +46,8 @@
 type Room struct {
 	Path, Name string
 	lock       *os.File
+	heir       string // the room of the process that was taking this one over
+	claimed    bool   // one was
 }
 
 // Open opens a state folder, which is there.
@@ -135,8 +137,11 @@
 		file.Close()
 		return nil, err
 	}
-	file.Truncate(0)
-	return &Room{Path: f.path(name), Name: name, lock: file}, nil
+	r := &Room{Path: f.path(name), Name: name, lock: file}
+	if r.heir, r.claimed = f.claim(name); !r.claimed {
+		file.Truncate(0) // the last word of a process that is gone
+	}
+	return r, nil
 }
 
 // Home takes the room that this process writes to. Who holds the baton goes on in the one that was in force; who stands by gets an empty one: the state
@@ -149,7 +154,12 @@
 		first = []string{""}
 	}
 	for _, name := range first {
-		if r, err := f.Take(name); r != nil || err != nil {
+		r, err := f.Take(name)
+		if r != nil && r.claimed {
+			r.lock.Close() // it is taken over like any other: a part of its messages has gone on in its heir's room
+			continue
+		}
+		if r != nil || err != nil {
 			return r, err
 		}
 	}
@@ -183,8 +193,8 @@
 	return strings.TrimSpace(string(b))
 }
 
-// Others lists the rooms beside mine: those that a process has, and those whose lock has fallen, which are taken. The state folder itself counts only if
-// there is a journal in it.
+// Others lists the rooms beside mine: those that a process has, and those whose lock has fallen, which are taken, each before the room of its heir.
+// The state folder itself counts only if there is a journal in it.
 func (f *Folder) Others(mine *Room) (held []string, fallen []*Room, err error) {
 	for _, name := range f.names() {
 		if name == mine.Name || name == "" && len(f.files("")) == 0 {
@@ -202,7 +212,7 @@
 			}
 		}
 	}
-	return held, fallen, nil
+	return held, f.readable(fallen, held), nil
 }
 
 // files lists the files of a room's journal.
@@ -229,6 +239,7 @@
 		}
 	}
 	if r.Name == "" {
+		r.lock.Truncate(0)
 		return r.lock.Close()
 	}
 	os.Remove(filepath.Join(r.Path, lockName))
--- a/internal/memory/journal/given.go
+++ b/internal/memory/journal/given.go
@@ -81,3 +81,6 @@
 
 // Used is what the journal's files take.
 func (j *Journal) Used() int64 { return j.used() }
+
+// Sick tells whether the disk took no records at the last commit that had some.
+func (j *Journal) Sick() bool { return j.sick }
--- a/internal/memory/table.go
+++ b/internal/memory/table.go
@@ -30,6 +30,11 @@
 	Owed   *Notice   // the notice that is still to be taken by the platform
 }
 
+// Supersedes tells whether m is a later account than o of the same message, which two processes have held.
+func (m *Message) Supersedes(o *Message) bool {
+	return o.Owed == nil && (m.Owed != nil || m.Steps > o.Steps)
+}
+
 // Terms are what a message was taken on under. They bind it, whatever the settings say later.
 type Terms struct {
 	Effect   policy.Effect
--- a/internal/wire/decisions.go
+++ b/internal/wire/decisions.go
@@ -54,6 +54,9 @@
 func (h *Host) step(now policy.Time) {
 	wall := time.Now()
 	for _, m := range h.arrivals {
+		if h.table.Get(m.Num) != m {
+			continue // over before the module heard of it
+		}
 		if m.Steps == 0 {
 			h.targets.Wanted(m.Dest, h.pool.Wanted)
 		}
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -34,6 +34,7 @@
 			h.adopt(m)
 		}
 		for _, id := range p.Overs {
+			h.endOutdated(id)
 			h.table.MarkOver(id)
 		}
 		if p.News != nil {
@@ -58,7 +59,7 @@
 	h.sequence.Arrived(m.ID)
 	num := m.Num // where the message keeps it, it keeps its place in the order of hand-in, here and after a restart
 	if have := h.table.ByID(m.ID); have != nil {
-		if m.Steps <= have.Steps || have.Out != nil || have.Owed != nil {
+		if have.Out != nil || !m.Supersedes(have) {
 			return
 		}
 		// The other account knows more: it takes the place of this one.
@@ -76,6 +77,23 @@
 	h.resume(m, time.Now())
 }
 
+// endOutdated ends the message of that id, which is over, unless its call is out. Guards against a message that was given to a process that ran it
+// and died before it had booked the gift: it is still there for the next one.
+func (h *Host) endOutdated(id string) {
+	m := h.table.ByID(id)
+	if m == nil || m.Out != nil || m.Owed != nil || m.New {
+		return
+	}
+	h.end(m, false)
+	h.pending = append(h.pending, policy.Withdrawn{ID: m.Num})
+}
+
+// TakesRecords tells whether the journal took what was written to it last.
+func (h *Host) TakesRecords() (takes bool) {
+	h.Do(func(h *Host) { takes = !h.journal.Sick() })
+	return takes
+}
+
 // heardNews takes over what the process before knows beside messages.
 func (h *Host) heardNews(n *handover.News) {
 	if l := n.List; l != nil && l.Generation > h.generation {
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -76,6 +77,33 @@
 	})
 }
 
+// What is over elsewhere before the module heard of it takes no slot from what comes later.
+func TestAdoptedAndOverElsewhere(t *testing.T) {
+	w := startWorld(t, okay)
+	w.host.Do(func(h *Host) { h.standby, h.quiet = true, true })
+	var all []*memory.Message
+	var ids []string
+	most := w.host.set.Slots * w.host.kindOf["broker"].Batch
+	for n := range uint32(most) {
+		m := &memory.Message{Num: 70 + n, ID: fmt.Sprint("over-", n), Class: "alert", Dest: 7, Body: []byte("b"), Deadline: time.Now().Add(time.Minute)}
+		all, ids = append(all, m), append(ids, m.ID)
+	}
+	<-w.host.Adopt(Passed{Msgs: all})
+	<-w.host.Adopt(Passed{Overs: ids})
+	<-w.host.Adopt(Passed{Last: true})
+	w.host.Activate()
+	if got := w.client(hand("alert", "a", "", "b", 4000)); got != 202 {
+		t.Fatalf("answered %d", got)
+	}
+	w.until("the call", func() bool { return len(w.calls) > 0 })
+	w.empty()
+	w.Lock()
+	defer w.Unlock()
+	if !slices.Equal(w.calls, []string{"a"}) {
+		t.Errorf("called %v", w.calls)
+	}
+}
+
 // A process that hands over gives what is not out, then what it still takes on and what its calls leave undone, and makes no further step.
 func TestGivesAllThatIsLeft(t *testing.T) {
 	release := make(chan struct{})
