Go on in a new segment where a bound on a file's size refuses a write

Change: a write that fails in a segment with records is tried once in a new one before messages are refused; a full disk fails there as well, as before.

--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -315,6 +315,9 @@
 		return nil, nil
 	}
 	err := j.write()
+	if err != nil && !j.sick && j.good > int64(headSize) {
+		err = j.write() // in a new segment: only the size of the old one may be bounded
+	}
 	if err == nil {
 		j.sick = false
 		j.clean()
--- a/internal/standin/disk/disk.go
+++ b/internal/standin/disk/disk.go
@@ -36,6 +36,7 @@
 	at    map[int]Fault // by number of the operation, from 1 on
 	dead  bool
 	room  int64 // bytes that all files may take; 0: any number
+	file  int64 // bytes that each file may have; 0: any number
 	log   []string
 }
 
@@ -48,6 +49,9 @@
 // Room bounds what all files may take; 0 is any number.
 func (d *Disk) Room(bytes int64) { d.mu.Lock(); d.room = bytes; d.mu.Unlock() }
 
+// FileRoom bounds the size of each file; 0 is any.
+func (d *Disk) FileRoom(bytes int64) { d.mu.Lock(); d.file = bytes; d.mu.Unlock() }
+
 // Ops counts the operations that change something so far.
 func (d *Disk) Ops() int { d.mu.Lock(); defer d.mu.Unlock(); return d.ops }
 
@@ -216,6 +220,10 @@
 		put(len(b) / 2)
 		return len(b) / 2, nil
 	}
+	if free := f.d.file - int64(len(f.d.files[*f.name])); f.d.file > 0 && int64(len(b)) > free {
+		put(int(free))
+		return int(free), syscall.EFBIG
+	}
 	if f.d.room > 0 {
 		if free := f.d.room - f.d.used() + 511; int64(len(b)) > free { // its last block may have room
 			n := int(max(0, free-511))
