--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,6 @@
 
 	"oatfold/internal/admin"
 	"oatfold/internal/daemon/config"
-	"oatfold/internal/daemon/config/operator"
 	"oatfold/internal/drain"
 	"oatfold/internal/figures"
 	"oatfold/internal/handover"
@@ -27,17 +26,6 @@
 	"oatfold/internal/wire"
 )
 
-// The course of a planned stop, from SIGTERM on. SIGKILL follows after 3.7 s at the earliest.
-const (
-	riskOn   = 2500 * time.Millisecond // then no route step begins whose end is needed: it may not be repeated
-	stepOn   = 3100 * time.Millisecond // then none begins at all
-	leaveBy  = 3450 * time.Millisecond // what is out by then may have run
-	lookTurn = 20 * time.Millisecond
-)
-
-// memoryShare of the limit is what the garbage collector aims to stay under.
-const memoryShare = 0.6
-
 // bodyShare of the memory limit, one part in so many, is what bodies of held messages may take; beyond it they are in the
 // journal only.
 const bodyShare = 8
@@ -68,38 +56,6 @@
 	return max(1, min(c.Sockets/2, rest-idle)), idle
 }
 
-// Sources is where a relay's configuration comes from, at the start and at each SIGHUP.
-type Sources struct {
-	Platform func() (*config.Config, error)
-	Operator func(*config.Config) (*operator.Config, error) // nil: no operator's file
-}
-
-// plug is what a load of plug-ins came to.
-type plug struct {
-	set   *plugin.Set
-	sites *sites.Plan
-	err   error
-}
-
-// plugins loads what the operator's file says, off the serving path.
-func (s Sources) plugins(ctx context.Context, c *config.Config, log *slog.Logger) <-chan plug {
-	done := make(chan plug, 1)
-	if s.Operator == nil {
-		done <- plug{}
-		return done
-	}
-	go func() {
-		oc, err := s.Operator(c)
-		if err != nil {
-			done <- plug{err: err}
-			return
-		}
-		set, err := plugin.LoadSet(ctx, oc.Plugins, log)
-		done <- plug{set, oc.Sites, err}
-	}()
-	return done
-}
-
 // relay is one process of a relay as it runs.
 type relay struct {
 	from    Sources
@@ -270,19 +226,6 @@
 	return nil
 }
 
-// tellDrain tells the fleet that this relay has been emptied, once it is empty, or that it is back.
-func (r *relay) tellDrain() {
-	drained := r.front.Load().Drained()
-	if drained == r.toldDrain {
-		return
-	}
-	if held, _ := r.host.Load(); drained && held > 0 {
-		return // it still makes calls
-	}
-	r.toldDrain = drained
-	r.host.Leaving(drained)
-}
-
 // enter takes the baton and the room that goes with it, or a room to stand by in.
 func (r *relay) enter() (active bool, err error) {
 	// Guards against a process of an earlier version, which knows no baton: its journal must not be opened beside it.
@@ -355,10 +298,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	follow = func() { cancel(); work.Wait() }
-	heir := &heir{r, ctx, map[string]bool{}, map[string]string{}}
+	successor := &successor{r, ctx, map[string]bool{}, map[string]string{}}
 	leaving := false
 	if others {
-		leaving = heir.take()
+		leaving = successor.take()
 	}
 	ln, err := wire.Listen(r.c.Listen)
 	if err != nil {
@@ -386,7 +329,7 @@
 	r.log.Info("ready", "name", r.c.Name, "listen", r.c.Listen, "discovery", r.c.Discovery, "slots", r.c.Settings.Slots, "held_most", r.c.Settings.MaxHeld)
 	if leaving {
 		r.inheriting.Store(true)
-		work.Go(heir.follow)
+		work.Go(successor.follow)
 	}
 	return follow, nil
 }
@@ -408,16 +351,6 @@
 	r.notes = notes
 }
 
-// reload reads the sources again.
-func (r *relay) reload(ctx context.Context) {
-	r.c = reload(r.c, r.from.Platform, r.host, r.front.Load(), r.log)
-	r.stop() // Guards against an older file that comes into force after a newer one
-	go drop(r.loading)
-	var now context.Context
-	now, r.stop = context.WithCancel(ctx)
-	r.loading = r.from.plugins(now, r.c, r.log)
-}
-
 // calls is what the operators can ask for. A drain that is told before the relay serves is answered with no.
 func (r *relay) calls() admin.Calls {
 	return admin.Calls{Log: r.log, Stats: r.stats, Members: r.members, Choices: r.choices, Sites: r.sites, Site: r.site,
@@ -439,100 +372,3 @@
 			return true
 		}}
 }
-
-// markDrain keeps in the state folder whether the operators have emptied the relay, so that a crash does not end a drain. It waits for the disk, on a
-// goroutine that nobody waits for. What holds when it gets there counts, whichever call came last.
-func (r *relay) markDrain() {
-	r.marking.Lock()
-	defer r.marking.Unlock()
-	f := r.front.Load()
-	if err := r.folder.Mark(f.Drained() && !r.stopping.Load()); err != nil {
-		r.log.Warn("a drain, or its end, is not kept: a crash would undo it", "err", err)
-	}
-}
-
-// drop lets go of plug-ins that nobody waits for any more.
-func drop(loading <-chan plug) {
-	if loading != nil {
-		(<-loading).set.Done()
-	}
-}
-
-// swap brings a reloaded operator's file into force, or leaves all as it was.
-func (r *relay) swap(p plug) {
-	if p.err != nil {
-		r.log.Error("plug-ins not reloaded, the old ones stay", "err", p.err)
-		p.set.Done()
-		return
-	}
-	if p.set != nil {
-		r.holder.Put(p.set)
-		r.host.PlanSites(p.sites, r.home())
-		r.log.Info("plug-ins reloaded", "count", len(p.set.Plugins()))
-	}
-}
-
-func memoryAim(c *config.Config) int64 { return int64(float64(c.MemoryBytes) * memoryShare) }
-
-func hostConfig(c *config.Config) wire.HostConfig {
-	_, idle := sockets(c)
-	return wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout, Reports: c.Reports,
-		IdleMost: idle, Known: c.Known, DiskBytes: c.DiskBytes}
-}
-
-// reload puts the configuration as it is now in force and returns it. Guards against a file that is wrong or half
-// written: it is read and checked whole before anything changes, and the old one stays.
-func reload(old *config.Config, load func() (*config.Config, error), host *wire.Host, front *wire.Front, log *slog.Logger) *config.Config {
-	log.Info("reloading")
-	c, err := load()
-	if err == nil {
-		err = host.Reload(hostConfig(c), c.Discovery)
-	}
-	if err != nil {
-		log.Error("configuration not reloaded, the old one stays", "err", err)
-		return old
-	}
-	if c.Admin != old.Admin {
-		log.Warn("admin changes with the next start only", "admin", old.Admin, "configured", c.Admin)
-		c.Admin = old.Admin
-	}
-	if c.Listen != old.Listen {
-		log.Warn("listen changes with the next start only", "listen", old.Listen, "configured", c.Listen)
-		c.Listen = old.Listen
-	}
-	warnGone(log, &old.Settings, &c.Settings)
-	debug.SetMemoryLimit(memoryAim(c))
-	if clients, _ := sockets(c); front != nil {
-		front.Configure(&c.Settings, clients)
-	}
-	log.Info("reloaded", "discovery", c.Discovery, "slots", c.Settings.Slots, "held_most", c.Settings.MaxHeld)
-	return c
-}
-
-// stopping serves on for a moment, closes the front socket, finishes the calls that are out and leaves the
-// rest in the journal.
-func stopping(host *wire.Host, front *wire.Front, log *slog.Logger) {
-	began := time.Now()
-	log.Info("stopping")
-	front.Turn(drain.Stop)
-	host.Leaving(true)
-	time.Sleep(drain.ServeOn)
-	leaving, quiet := false, false
-	for time.Since(began) < leaveBy {
-		held, out := host.Load()
-		if out == 0 && front.Busy() == 0 && !front.Accepting() && (held == 0 || quiet) {
-			break
-		}
-		if !leaving && time.Since(began) >= riskOn {
-			host.Leave()
-			leaving = true
-		}
-		if !quiet && time.Since(began) >= stepOn {
-			host.Quiet()
-			quiet = true
-		}
-		time.Sleep(lookTurn)
-	}
-	held, out := host.Load()
-	log.Info("stopped", "left_in_journal", held, "calls_out", out)
-}
--- a/internal/daemon/inherit.go
+++ b/internal/daemon/inherit.go
@@ -13,8 +13,8 @@
 
 // This file takes over the rooms of processes that are gone.
 
-// errHeirUnread says that a room's messages went on in one that can't be read.
-var errHeirUnread = errors.New("the room of the process that was taking it over can't be read")
+// errSuccessorUnread says that a room's messages went on in one that can't be read.
+var errSuccessorUnread = errors.New("the room of the process that was taking it over can't be read")
 
 // inheritance is the room of a process that is gone, and what its journal holds.
 type inheritance struct {
@@ -24,7 +24,7 @@
 }
 
 // inherit takes over rooms that were read. The lock of one that is not taken over whole stays with this process.
-func (h *heir) inherit(all []*inheritance) {
+func (h *successor) inherit(all []*inheritance) {
 	for _, i := range all {
 		if err := h.adopt(i); err != nil {
 			h.notTaken(i.room, err)
@@ -33,19 +33,19 @@
 	}
 }
 
-func (h *heir) notTaken(r *rooms.Room, err error) {
+func (h *successor) notTaken(r *rooms.Room, err error) {
 	h.log.Error("a room is not taken over", "room", r.Path, "err", err)
 }
 
-// read reads rooms, each of which comes before its heir's, and leaves the latest account of each message. A room whose heir's room can't be
+// read reads rooms, each of which comes before its successor's, and leaves the latest account of each message. A room whose successor's room can't be
 // read is left out as well: its messages may have run.
-func (h *heir) read(fallen []*rooms.Room) (all []*inheritance) {
+func (h *successor) read(fallen []*rooms.Room) (all []*inheritance) {
 	unread := map[string]bool{}
 	for _, r := range slices.Backward(fallen) {
 		var err error
 		i := &inheritance{room: r}
-		if by, claimed := r.Heir(); claimed && unread[by] {
-			err = errHeirUnread
+		if by, claimed := r.Successor(); claimed && unread[by] {
+			err = errSuccessorUnread
 		} else {
 			i.journal, i.table, err = journal.Open(journal.Config{FS: journal.Dir(r.Path), Budget: h.disk() - h.folder.Used(r), Log: h.log, Inline: true})
 		}
@@ -61,7 +61,7 @@
 	return all
 }
 
-// dropOutdated leaves the latest account of each message only. Guards against a message that an heir had taken on and run when it died, and not
+// dropOutdated leaves the latest account of each message only. Guards against a message that a successor had taken on and run when it died, and not
 // yet booked off the room that it came from.
 func dropOutdated(all []*inheritance) {
 	over, latest := map[string]struct{}{}, map[string]*memory.Message{}
@@ -92,7 +92,7 @@
 }
 
 // adopt takes one room over, part by part, and clears it.
-func (h *heir) adopt(i *inheritance) error {
+func (h *successor) adopt(i *inheritance) error {
 	if err := i.room.Claim(h.room); err != nil {
 		h.log.Warn("a room takes no word of who takes it over", "room", i.room.Path, "err", err)
 	}
--- a/internal/daemon/inherit_test.go
+++ b/internal/daemon/inherit_test.go
@@ -17,11 +17,11 @@
 
 // account is what a process that is gone has left of the charge "m" in its room, and who was taking that room over.
 type account struct {
-	heir    string // "-": nobody
-	steps   int
-	over    bool // delivered
-	owed    bool // handed back, and the platform has yet to hear of it
-	nothing bool // it knows nothing of the charge
+	successor string // "-": nobody
+	steps     int
+	over      bool // delivered
+	owed      bool // handed back, and the platform has yet to hear of it
+	nothing   bool // it knows nothing of the charge
 }
 
 // charge returns the charge "m" after so many calls, none of which has run.
@@ -59,8 +59,8 @@
 	if _, err := kept.Commit(); err != nil {
 		t.Fatal(err)
 	}
-	if a.heir != "-" {
-		if err := room.Claim(&rooms.Room{Name: a.heir}); err != nil {
+	if a.successor != "-" {
+		if err := room.Claim(&rooms.Room{Name: a.successor}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -79,22 +79,22 @@
 	return table.ByID("m")
 }
 
-// Several rooms fall together, since each heir died before it had booked off what it took over. Whatever their names, the latest account
+// Several rooms fall together, since each successor died before it had booked off what it took over. Whatever their names, the latest account
 // counts: what one of them has ended does not run once more.
 func TestRoomsThatFallTogether(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		left []account // of the state folder, life-1, life-2
-		held int       // messages that the heir goes on with, notices among them
+		held int       // messages that the successor goes on with, notices among them
 		want int       // calls that it knows of
 	}{
-		{"delivered by the heir", []account{{heir: "life-1"}, {heir: "-", over: true}}, 0, 0},
-		{"delivered by the process before", []account{{heir: "-", over: true}, {heir: ""}}, 0, 0},
-		{"called by the heir", []account{{heir: "life-1"}, {heir: "-", steps: 1}}, 1, 1},
-		{"handed back by the heir", []account{{heir: "life-1"}, {heir: "-", owed: true}}, 1, 0},
-		{"delivered by the heir's heir", []account{{heir: "life-1"}, {heir: "life-2"}, {heir: "-", over: true}}, 0, 0},
-		{"booked off by the heir's heir", []account{{heir: "life-1"}, {heir: "life-2", steps: 2}, {heir: "-", nothing: true}}, 1, 2},
-		{"tried by nobody", []account{{heir: "life-1"}, {heir: "-", nothing: true}}, 1, 0},
+		{"delivered by the successor", []account{{successor: "life-1"}, {successor: "-", over: true}}, 0, 0},
+		{"delivered by the process before", []account{{successor: "-", over: true}, {successor: ""}}, 0, 0},
+		{"called by the successor", []account{{successor: "life-1"}, {successor: "-", steps: 1}}, 1, 1},
+		{"handed back by the successor", []account{{successor: "life-1"}, {successor: "-", owed: true}}, 1, 0},
+		{"delivered by the successor's successor", []account{{successor: "life-1"}, {successor: "life-2"}, {successor: "-", over: true}}, 0, 0},
+		{"booked off by the successor's successor", []account{{successor: "life-1"}, {successor: "life-2", steps: 2}, {successor: "-", nothing: true}}, 1, 2},
+		{"tried by nobody", []account{{successor: "life-1"}, {successor: "-", nothing: true}}, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			dir := t.TempDir()
@@ -105,7 +105,7 @@
 				}
 				a.leave(t, dir, name)
 			}
-			h := startHeir(t, dir)
+			h := startSuccessor(t, dir)
 			_, fallen, err := h.folder.Others(h.room)
 			if err != nil || len(fallen) != len(c.left) {
 				t.Fatal(fallen, err)
@@ -133,22 +133,22 @@
 	}
 }
 
-// steps asks for the calls of "m" that the heir knows of, as it would tell the process after it.
-func steps(t *testing.T, h *heir) (steps int) {
+// steps asks for the calls of "m" that the successor knows of, as it would tell the process after it.
+func steps(t *testing.T, h *successor) (steps int) {
 	t.Helper()
 	h.host.Do(func(*wire.Host) {}) // what was adopted is in the journal
 	m := found(t, h.room.Path)
 	if m == nil {
-		t.Fatal("it is not in the heir's journal")
+		t.Fatal("it is not in the successor's journal")
 	}
 	return m.Steps
 }
 
 // A room whose messages went on in one that can't be read is left alone.
-func TestUnreadableHeirKeepsItsSource(t *testing.T) {
+func TestUnreadableSuccessorKeepsItsSource(t *testing.T) {
 	dir := t.TempDir()
-	account{heir: "life-1"}.leave(t, dir, "")
-	h := startHeir(t, dir)
+	account{successor: "life-1"}.leave(t, dir, "")
+	h := startSuccessor(t, dir)
 	h.folder.Leave(h.room, false) // the room "life-1" falls
 	fallen := []*rooms.Room{{Name: "", Path: dir}, {Name: "life-1", Path: h.room.Path + "/gone"}}
 	if err := fallen[0].Claim(fallen[1]); err == nil {
@@ -163,8 +163,8 @@
 // adopts and the write to the journal, until the process was told to leave.
 func TestLeavesInTheMiddleOfARoom(t *testing.T) {
 	dir := t.TempDir()
-	account{heir: "-"}.leave(t, dir, "")
-	h := startHeir(t, dir)
+	account{successor: "-"}.leave(t, dir, "")
+	h := startSuccessor(t, dir)
 	ctx, leave := context.WithCancel(context.Background())
 	h.ctx = ctx
 	_, fallen, err := h.folder.Others(h.room)
@@ -214,11 +214,11 @@
 	for what, c := range map[string]struct {
 		account
 		held int
-	}{"delivered": {account{heir: "-", over: true}, 0}, "handed back": {account{heir: "-", owed: true}, 1}} {
+	}{"delivered": {account{successor: "-", over: true}, 0}, "handed back": {account{successor: "-", owed: true}, 1}} {
 		t.Run(what, func(t *testing.T) {
 			dir := t.TempDir()
 			c.leave(t, dir, "")
-			h := startHeir(t, dir)
+			h := startSuccessor(t, dir)
 			news := handover.News{}
 			if err := h.folder.Give(journal.Give([]*memory.Message{charge(7, 0)}, news.Encode())); err != nil {
 				t.Fatal(err)
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"runtime/debug"
+
+	"oatfold/internal/daemon/config"
+	"oatfold/internal/daemon/config/operator"
+	"oatfold/internal/plugin"
+	"oatfold/internal/sites"
+	"oatfold/internal/wire"
+)
+
+// This file reads the relay's sources, at the start and at each SIGHUP, and puts what they say in force.
+
+// memoryShare of the limit is what the garbage collector aims to stay under.
+const memoryShare = 0.6
+
+// Sources is where a relay's configuration comes from, at the start and at each SIGHUP.
+type Sources struct {
+	Platform func() (*config.Config, error)
+	Operator func(*config.Config) (*operator.Config, error) // nil: no operator's file
+}
+
+// plug is what a load of plug-ins came to.
+type plug struct {
+	set   *plugin.Set
+	sites *sites.Plan
+	err   error
+}
+
+// plugins loads what the operator's file says, off the serving path.
+func (s Sources) plugins(ctx context.Context, c *config.Config, log *slog.Logger) <-chan plug {
+	done := make(chan plug, 1)
+	if s.Operator == nil {
+		done <- plug{}
+		return done
+	}
+	go func() {
+		oc, err := s.Operator(c)
+		if err != nil {
+			done <- plug{err: err}
+			return
+		}
+		set, err := plugin.LoadSet(ctx, oc.Plugins, log)
+		done <- plug{set, oc.Sites, err}
+	}()
+	return done
+}
+
+// reload reads the sources again.
+func (r *relay) reload(ctx context.Context) {
+	r.c = reload(r.c, r.from.Platform, r.host, r.front.Load(), r.log)
+	r.stop() // Guards against an older file that comes into force after a newer one
+	go drop(r.loading)
+	var now context.Context
+	now, r.stop = context.WithCancel(ctx)
+	r.loading = r.from.plugins(now, r.c, r.log)
+}
+
+// drop lets go of plug-ins that nobody waits for any more.
+func drop(loading <-chan plug) {
+	if loading != nil {
+		(<-loading).set.Done()
+	}
+}
+
+// swap brings a reloaded operator's file into force, or leaves all as it was.
+func (r *relay) swap(p plug) {
+	if p.err != nil {
+		r.log.Error("plug-ins not reloaded, the old ones stay", "err", p.err)
+		p.set.Done()
+		return
+	}
+	if p.set != nil {
+		r.holder.Put(p.set)
+		r.host.PlanSites(p.sites, r.home())
+		r.log.Info("plug-ins reloaded", "count", len(p.set.Plugins()))
+	}
+}
+
+func memoryAim(c *config.Config) int64 { return int64(float64(c.MemoryBytes) * memoryShare) }
+
+func hostConfig(c *config.Config) wire.HostConfig {
+	_, idle := sockets(c)
+	return wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout, Reports: c.Reports,
+		IdleMost: idle, Known: c.Known, DiskBytes: c.DiskBytes}
+}
+
+// reload puts the configuration as it is now in force and returns it. Guards against a file that is wrong or half
+// written: it is read and checked whole before anything changes, and the old one stays.
+func reload(old *config.Config, load func() (*config.Config, error), host *wire.Host, front *wire.Front, log *slog.Logger) *config.Config {
+	log.Info("reloading")
+	c, err := load()
+	if err == nil {
+		err = host.Reload(hostConfig(c), c.Discovery)
+	}
+	if err != nil {
+		log.Error("configuration not reloaded, the old one stays", "err", err)
+		return old
+	}
+	if c.Admin != old.Admin {
+		log.Warn("admin changes with the next start only", "admin", old.Admin, "configured", c.Admin)
+		c.Admin = old.Admin
+	}
+	if c.Listen != old.Listen {
+		log.Warn("listen changes with the next start only", "listen", old.Listen, "configured", c.Listen)
+		c.Listen = old.Listen
+	}
+	warnGone(log, &old.Settings, &c.Settings)
+	debug.SetMemoryLimit(memoryAim(c))
+	if clients, _ := sockets(c); front != nil {
+		front.Configure(&c.Settings, clients)
+	}
+	log.Info("reloaded", "discovery", c.Discovery, "slots", c.Settings.Slots, "held_most", c.Settings.MaxHeld)
+	return c
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"log/slog"
+	"time"
+
+	"oatfold/internal/drain"
+	"oatfold/internal/wire"
+)
+
+// This file is about how the relay leaves service: drains, and the course of a planned stop.
+
+// The course of a planned stop, from SIGTERM on. SIGKILL follows after 3.7 s at the earliest.
+const (
+	riskOn   = 2500 * time.Millisecond // then no route step begins whose end is needed: it may not be repeated
+	stepOn   = 3100 * time.Millisecond // then none begins at all
+	leaveBy  = 3450 * time.Millisecond // what is out by then may have run
+	lookTurn = 20 * time.Millisecond
+)
+
+// tellDrain tells the fleet that this relay has been emptied, once it is empty, or that it is back.
+func (r *relay) tellDrain() {
+	drained := r.front.Load().Drained()
+	if drained == r.toldDrain {
+		return
+	}
+	if held, _ := r.host.Load(); drained && held > 0 {
+		return // it still makes calls
+	}
+	r.toldDrain = drained
+	r.host.Leaving(drained)
+}
+
+// markDrain keeps in the state folder whether the operators have emptied the relay, so that a crash does not end a drain. It waits for the disk, on a
+// goroutine that nobody waits for. What holds when it gets there counts, whichever call came last.
+func (r *relay) markDrain() {
+	r.marking.Lock()
+	defer r.marking.Unlock()
+	f := r.front.Load()
+	if err := r.folder.Mark(f.Drained() && !r.stopping.Load()); err != nil {
+		r.log.Warn("a drain, or its end, is not kept: a crash would undo it", "err", err)
+	}
+}
+
+// stopping serves on for a moment, closes the front socket, finishes the calls that are out and leaves the
+// rest in the journal.
+func stopping(host *wire.Host, front *wire.Front, log *slog.Logger) {
+	began := time.Now()
+	log.Info("stopping")
+	front.Turn(drain.Stop)
+	host.Leaving(true)
+	time.Sleep(drain.ServeOn)
+	leaving, quiet := false, false
+	for time.Since(began) < leaveBy {
+		held, out := host.Load()
+		if out == 0 && front.Busy() == 0 && !front.Accepting() && (held == 0 || quiet) {
+			break
+		}
+		if !leaving && time.Since(began) >= riskOn {
+			host.Leave()
+			leaving = true
+		}
+		if !quiet && time.Since(began) >= stepOn {
+			host.Quiet()
+			quiet = true
+		}
+		time.Sleep(lookTurn)
+	}
+	held, out := host.Load()
+	log.Info("stopped", "left_in_journal", held, "calls_out", out)
+}
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -19,8 +19,8 @@
 	givenMost = 4                     // files that wait in the spool: more would only take room
 )
 
-// heir takes over what other processes of this relay leave. It waits for disks, on a goroutine that nobody waits for.
-type heir struct {
+// successor takes over what other processes of this relay leave. It waits for disks, on a goroutine that nobody waits for.
+type successor struct {
 	*relay
 	ctx context.Context
 	bad map[string]bool // files of the spool that can't be read: they stay, for a person to look at
@@ -29,7 +29,7 @@
 }
 
 // take takes over what is there, and tells whether a process is still leaving.
-func (h *heir) take() (leaving bool) {
+func (h *successor) take() (leaving bool) {
 	h.host.LookBegins()
 	held, fallen, err := h.folder.Others(h.room)
 	if err != nil {
@@ -59,7 +59,7 @@
 }
 
 // follow goes on until nobody is leaving.
-func (h *heir) follow() {
+func (h *successor) follow() {
 	_, idle := sockets(h.c)
 	h.host.Idle(idle / 2)
 	if h.listenNotes(); h.notes != nil {
@@ -84,7 +84,7 @@
 
 // wait waits until something taken over is in the journal. Where this process has to leave itself it waits on, but not for a disk that takes no
 // records. Guards against a message that goes on from here while its room says that it was never tried.
-func (h *heir) wait(done <-chan struct{}) bool {
+func (h *successor) wait(done <-chan struct{}) bool {
 	select {
 	case <-done:
 		return true
@@ -104,7 +104,7 @@
 }
 
 // spool takes over what was given.
-func (h *heir) spool(leaving bool) {
+func (h *successor) spool(leaving bool) {
 	for _, name := range h.folder.Given() {
 		from := rooms.Giver(name)
 		if h.bad[name] || h.latest[from] == name || h.ctx.Err() != nil {
@@ -135,7 +135,7 @@
 
 // adopted lets a file of the spool go that is taken over. The latest one of each process stays, without its messages: should this process be killed, the one
 // that comes after it has to know what the other still owes.
-func (h *heir) adopted(name, from string, news *handover.News, messages bool) {
+func (h *successor) adopted(name, from string, news *handover.News, messages bool) {
 	if before, some := h.latest[from]; some {
 		h.done(before)
 	}
@@ -151,7 +151,7 @@
 }
 
 // done removes a file of the spool.
-func (h *heir) done(name string) {
+func (h *successor) done(name string) {
 	if err := h.folder.Done(name); err != nil {
 		h.bad[name] = true
 		h.log.Error("given file is taken over but stays", "file", name, "err", err)
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -15,8 +15,8 @@
 	"oatfold/policy"
 )
 
-// startHeir returns a process that takes over what is in folder, as one that has just got the baton.
-func startHeir(t *testing.T, dir string) *heir {
+// startSuccessor returns a process that takes over what is in folder, as one that has just got the baton.
+func startSuccessor(t *testing.T, dir string) *successor {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	folder, err := rooms.Open(dir, log)
@@ -41,7 +41,7 @@
 	go func() { host.Run(stop); close(done) }()
 	t.Cleanup(func() { close(stop); <-done; kept.Close(); folder.Leave(room, false) })
 	r := &relay{folder: folder, room: room, host: host, log: log, c: &config.Config{DiskBytes: 1 << 20}}
-	return &heir{r, context.Background(), map[string]bool{}, map[string]string{}}
+	return &successor{r, context.Background(), map[string]bool{}, map[string]string{}}
 }
 
 // The latest news of each process stay in the spool, without the messages, until nobody leaves: a process that starts anew in the middle has to know
@@ -85,7 +85,7 @@
 		}
 		return owes, msgs
 	}
-	h := startHeir(t, dir)
+	h := startSuccessor(t, dir)
 	gives("a", &memory.Message{Num: 2, ID: "m", Class: "fee", Body: []byte("x")})
 	for range 2 { // the second time it is known
 		h.spool(true)
--- a/internal/handover/rooms/claim.go
+++ b/internal/handover/rooms/claim.go
@@ -6,42 +6,42 @@
 )
 
 // claimPrefix begins the word in the lock file of a room that another process is taking over. The name of that process's room follows.
-const claimPrefix = "heir:"
+const claimPrefix = "successor:"
 
-// Claim notes in r, whose process is gone, that the process of heir takes it over. From then on messages of r may go on in heir: whoever
+// Claim notes in r, whose process is gone, that the process of successor takes it over. From then on messages of r may go on in successor: whoever
 // comes after that process has to read both.
-func (r *Room) Claim(heir *Room) error {
-	r.heir, r.claimed = heir.Name, true
-	return r.Say(claimPrefix + heir.Name)
+func (r *Room) Claim(successor *Room) error {
+	r.successor, r.claimed = successor.Name, true
+	return r.Say(claimPrefix + successor.Name)
 }
 
-// Heir names the room of the process that was taking r over when it ended; false if none was.
-func (r *Room) Heir() (name string, claimed bool) { return r.heir, r.claimed }
+// Successor names the room of the process that was taking r over when it ended; false if none was.
+func (r *Room) Successor() (name string, claimed bool) { return r.successor, r.claimed }
 
 // claim returns what Claim has noted in the room of that name. A room without a journal was taken over whole.
-func (f *Folder) claim(name string) (heir string, claimed bool) {
-	heir, claimed = strings.CutPrefix(f.Said(name), claimPrefix)
-	return heir, claimed && len(f.files(name)) > 0
+func (f *Folder) claim(name string) (successor string, claimed bool) {
+	successor, claimed = strings.CutPrefix(f.Said(name), claimPrefix)
+	return successor, claimed && len(f.files(name)) > 0
 }
 
-// readable gives back the rooms that can't be read yet, and returns the others, each before the room of its heir. Guards against a room that
-// its heir had emptied in part: what became of its messages is in the heir's own room, whose lock falls a moment later.
+// readable gives back the rooms that can't be read yet, and returns the others, each before the room of its successor. Guards against a room that
+// its successor had emptied in part: what became of its messages is in the successor's own room, whose lock falls a moment later.
 func (f *Folder) readable(fallen []*Room, held []string) []*Room {
 	fallen = slices.DeleteFunc(fallen, func(r *Room) bool {
-		early := r.claimed && slices.Contains(held, r.heir) && f.Said(r.heir) == Serving
+		early := r.claimed && slices.Contains(held, r.successor) && f.Said(r.successor) == Serving
 		if early {
 			r.lock.Close()
 		}
 		return early
 	})
-	slices.SortStableFunc(fallen, func(a, b *Room) int { return heirs(b, fallen) - heirs(a, fallen) })
+	slices.SortStableFunc(fallen, func(a, b *Room) int { return successors(b, fallen) - successors(a, fallen) })
 	return fallen
 }
 
-// heirs counts the rooms among all that took r over, one after another.
-func heirs(r *Room, all []*Room) (n int) {
+// successors counts the rooms among all that took r over, one after another.
+func successors(r *Room, all []*Room) (n int) {
 	for ; r.claimed && n < len(all); n++ {
-		at := slices.IndexFunc(all, func(o *Room) bool { return o.Name == r.heir })
+		at := slices.IndexFunc(all, func(o *Room) bool { return o.Name == r.successor })
 		if at < 0 {
 			return n
 		}
--- a/internal/handover/rooms/claim_test.go
+++ b/internal/handover/rooms/claim_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // The room of a process that is gone is not read while the process that was taking it over still has its own: what became of its messages is there.
-func TestClaimedRoomWaitsForItsHeir(t *testing.T) {
+func TestClaimedRoomWaitsForItsSuccessor(t *testing.T) {
 	dir := t.TempDir()
 	a, roomA, _ := process(t, dir)
 	put(t, roomA, "000000000001.seg")
@@ -30,12 +30,12 @@
 	if err != nil || len(held) > 0 || len(fallen) != 2 || fallen[0].Name != "" || fallen[1].Name != roomB.Name {
 		t.Fatalf("held %v, to read %v, %v", held, fallen, err)
 	}
-	if heir, claimed := fallen[0].Heir(); !claimed || heir != roomB.Name {
-		t.Errorf("the claim is lost: %q, %v", heir, claimed)
+	if successor, claimed := fallen[0].Successor(); !claimed || successor != roomB.Name {
+		t.Errorf("the claim is lost: %q, %v", successor, claimed)
 	}
 }
 
-// The name of an heir may have passed to a process that only stands by: nothing waits for that one.
+// The name of a successor may have passed to a process that only stands by: nothing waits for that one.
 func TestClaimOfANameThatIsUsedAnew(t *testing.T) {
 	dir := t.TempDir()
 	a, roomA, _ := process(t, dir)
@@ -52,7 +52,7 @@
 	die(b, roomB)
 }
 
-// A room that an heir was taking over is nobody's home, and one that was taken over whole is.
+// A room that a successor was taking over is nobody's home, and one that was taken over whole is.
 func TestClaimedRoomIsNoHome(t *testing.T) {
 	dir := t.TempDir()
 	a, roomA, _ := process(t, dir)
@@ -75,9 +75,9 @@
 	}
 }
 
-// Each room comes before its heir's, whatever their names are.
-func TestRoomsComeBeforeTheirHeirs(t *testing.T) {
-	all := []*Room{{Name: "", heir: "life-9", claimed: true}, {Name: "life-1"}, {Name: "life-2", heir: "", claimed: true}, {Name: "life-3", heir: "life-3", claimed: true}}
+// Each room comes before its successor's, whatever their names are.
+func TestRoomsComeBeforeTheirSuccessors(t *testing.T) {
+	all := []*Room{{Name: "", successor: "life-9", claimed: true}, {Name: "life-1"}, {Name: "life-2", successor: "", claimed: true}, {Name: "life-3", successor: "life-3", claimed: true}}
 	got := (&Folder{dir: t.TempDir()}).readable(all, nil)
 	at := map[string]int{}
 	for i, r := range got {
--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -46,7 +46,7 @@
 type Room struct {
 	Path, Name string
 	lock       *os.File
-	heir       string // the room of the process that was taking this one over
+	successor  string // the room of the process that was taking this one over
 	claimed    bool   // one was
 }
 
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	r := &Room{Path: f.path(name), Name: name, lock: file}
-	if r.heir, r.claimed = f.claim(name); !r.claimed {
+	if r.successor, r.claimed = f.claim(name); !r.claimed {
 		file.Truncate(0) // the last word of a process that is gone
 	}
 	return r, nil
@@ -156,7 +156,7 @@
 	for _, name := range first {
 		r, err := f.Take(name)
 		if r != nil && r.claimed {
-			r.lock.Close() // it is taken over like any other: a part of its messages has gone on in its heir's room
+			r.lock.Close() // it is taken over like any other: a part of its messages has gone on in its successor's room
 			continue
 		}
 		if r != nil || err != nil {
@@ -193,7 +193,7 @@
 	return strings.TrimSpace(string(b))
 }
 
-// Others lists the rooms beside mine: those that a process has, and those whose lock has fallen, which are taken, each before the room of its heir.
+// Others lists the rooms beside mine: those that a process has, and those whose lock has fallen, which are taken, each before the room of its successor.
 // The state folder itself counts only if there is a journal in it.
 func (f *Folder) Others(mine *Room) (held []string, fallen []*Room, err error) {
 	for _, name := range f.names() {
