Give the replicas of relays that leave as planned to others while they serve

Change: relays say with their questions that they leave, reports carry it, the planner knows the state leaving, Follower.Released tells when one may go; an eighth of a zone's relays begins to leave in a minute. Of a partition, relays that serve give one replica away with a map now, and unheard relays count as away. Off: nothing of it is wired to run.

--- a/internal/assignment/control.go
+++ b/internal/assignment/control.go
@@ -17,8 +17,8 @@
 )
 
 // Heard tells the publisher which relays have asked another control machine since
-// its last report: a bit for each relay.
-type Heard struct{ Relays []uint64 }
+// its last report: a bit for each relay, and which of them said that they leave.
+type Heard struct{ Relays, Leaving []uint64 }
 
 func (Heard) message() {}
 
@@ -31,7 +31,7 @@
 	places    []Member
 	health    *Health // while it publishes
 	states    []Member
-	heard     []uint64
+	heard     Heard           // since the last report
 	changedAt []time.Duration // by partition, while it publishes
 	planAt    time.Duration
 	reportAt  time.Duration
@@ -40,7 +40,7 @@
 // NewControl makes a control machine from its part of the register. The member at
 // index i of places is the zone and rack of relay i.
 func NewControl(register *Register, shape Shape, places []Member, key Key) *Control {
-	c := &Control{register: register, directory: NewDirectory(key), shape: shape, places: places, heard: make([]uint64, (len(places)+63)/64)}
+	c := &Control{register: register, directory: NewDirectory(key), shape: shape, places: places, heard: newHeard(len(places))}
 	c.directory.Publish(register.Published())
 	return c
 }
@@ -52,14 +52,39 @@
 // Answer answers a relay, as Directory.Answer does.
 func (c *Control) Answer(now time.Duration, a Ask) ([]byte, error) {
 	if int(a.Relay) < len(c.places) {
-		c.heard[a.Relay/64] |= 1 << (a.Relay % 64)
-		if c.health != nil {
-			c.health.Heard(a.Relay, now)
-		}
+		c.heard.book(a)
+		c.tellHealth(now, a.Relay, a.Leaving)
 	}
 	return c.directory.Answer(a)
 }
 
+// tellHealth books that a relay was heard of, where this machine publishes.
+func (c *Control) tellHealth(now time.Duration, r Relay, leaves bool) {
+	switch {
+	case c.health == nil:
+	case leaves:
+		c.health.Leaves(r, now)
+	default:
+		c.health.Heard(r, now)
+	}
+}
+
+const wordBits = 64
+
+func newHeard(relays int) Heard {
+	words := (relays + wordBits - 1) / wordBits
+	return Heard{make([]uint64, words), make([]uint64, words)}
+}
+
+// book takes in a question of a relay that has a bit.
+func (h Heard) book(a Ask) {
+	word, bit := a.Relay/wordBits, uint64(1)<<(a.Relay%wordBits)
+	h.Relays[word] |= bit
+	if h.Leaving[word] &^= bit; a.Leaving {
+		h.Leaving[word] |= bit
+	}
+}
+
 // Receive takes in a message of another control machine and returns what to send.
 func (c *Control) Receive(now time.Duration, from int, m Message) []Envelope {
 	if report, ok := m.(Heard); ok {
@@ -71,15 +96,14 @@
 	return out
 }
 
-// reported takes in which relays another machine has heard of.
+// reported takes in which relays another machine has heard of. A report of a
+// machine that knows nothing of leaves has no bits for them.
 func (c *Control) reported(now time.Duration, report Heard) {
-	if c.health == nil {
-		return
-	}
 	for i, word := range report.Relays {
-		for bit := range 64 {
-			if word>>bit&1 != 0 && i*64+bit < len(c.places) {
-				c.health.Heard(Relay(i*64+bit), now)
+		for bit := range wordBits {
+			r := i*wordBits + bit
+			if word>>bit&1 != 0 && r < len(c.places) {
+				c.tellHealth(now, Relay(r), i < len(report.Leaving) && report.Leaving[i]>>bit&1 != 0)
 			}
 		}
 	}
@@ -105,8 +129,8 @@
 		return nil
 	}
 	c.reportAt = now + reportEvery
-	report := Heard{slices.Clone(c.heard)}
-	clear(c.heard)
+	report := c.heard
+	c.heard = newHeard(len(c.places))
 	return []Envelope{{to, report}}
 }
 
--- a/internal/assignment/follower.go
+++ b/internal/assignment/follower.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -40,6 +41,7 @@
 	askedAt time.Duration
 	nextAt  time.Duration
 	tries   int // questions since the last answer
+	leaving bool
 }
 
 // NewFollower makes the follower of a relay that has no slice yet.
@@ -49,8 +51,9 @@
 
 // Ask is a relay's question for its slice.
 type Ask struct {
-	Relay Relay
-	Have  Version // of the slice in force, or the latest that it was confirmed for
+	Relay   Relay
+	Have    Version // of the slice in force, or the latest that it was confirmed for
+	Leaving bool    // it wants to go, and asks for its replicas to be given to others
 }
 
 // Current returns the slice in force, nil before the first.
@@ -63,6 +66,18 @@
 // first. Restore takes it at the next start.
 func (f *Follower) Encoded() []byte { return f.encoded }
 
+// Leave has the relay say from its next question on that it wants to go, or that
+// it stays after all. A start begins with staying.
+func (f *Follower) Leave(leave bool) { f.leaving = leave }
+
+// Released tells whether a relay that leaves has no replicas any more. It may go
+// once its handovers are done as well.
+func (f *Follower) Released() bool {
+	return f.leaving && f.current != nil && !slices.ContainsFunc(f.current.Serving, func(s Serving) bool {
+		return slices.Contains(s.Replicas, f.relay)
+	})
+}
+
 // Silent tells whether no control machine has answered for long, so that the
 // slice in force may be out of date.
 func (f *Follower) Silent(now time.Duration) bool { return now-f.heardAt >= silentAfter }
@@ -76,7 +91,7 @@
 	if f.tries++; f.tries <= quickRetries {
 		f.nextAt = now + retryEvery
 	}
-	return Ask{f.relay, f.latest}, true
+	return Ask{f.relay, f.latest, f.leaving}, true
 }
 
 // Next returns when Poll has the next question.
--- a/internal/assignment/health.go
+++ b/internal/assignment/health.go
@@ -12,21 +12,27 @@
 	lostShare = 8
 )
 
+// perZone is a count for each zone.
+type perZone [1 << 8]int
+
 // Health follows which relays of a region ask for their slices. It is not safe for
 // concurrent use.
 type Health struct {
 	places  []Member // zone and rack of each relay; their states are not used
 	heardAt []time.Duration
 	gone    []bool
+	heard   []bool // of, since it was made
+	leaving []leaving
 	lostAt  [1 << 8]time.Duration // by zone: when it was lost as a whole last
 }
 
 // NewHealth makes one for relays at the given places. Those that serve in the
 // latest map count as heard at now, the others as gone until they are heard.
 func NewHealth(places []Member, latest *Map, now time.Duration) *Health {
-	h := &Health{places: places, heardAt: make([]time.Duration, len(places)), gone: make([]bool, len(places))}
+	h := &Health{places: places, heardAt: make([]time.Duration, len(places)), gone: make([]bool, len(places)),
+		heard: make([]bool, len(places)), leaving: make([]leaving, len(places))}
 	for i := range h.heardAt {
-		h.heardAt[i], h.gone[i] = now, true
+		h.heardAt[i], h.gone[i], h.leaving[i] = now, true, notLeaving
 	}
 	if latest != nil {
 		for _, r := range latest.replicas {
@@ -40,15 +46,19 @@
 
 // Heard books that a relay was heard of at a time. Numbers of no relay are ignored.
 func (h *Health) Heard(r Relay, at time.Duration) {
-	if int(r) < len(h.heardAt) && at >= h.heardAt[r] {
-		h.heardAt[r], h.gone[r] = at, false
+	if int(r) >= len(h.heardAt) || at < h.heardAt[r] {
+		return
+	}
+	h.heardAt[r], h.gone[r], h.heard[r] = at, false, true
+	if !h.leaving[r].at(at) {
+		h.leaving[r] = notLeaving
 	}
 }
 
 // Members returns what each relay is taken for at now.
 func (h *Health) Members(now time.Duration) []Member {
 	members := make([]Member, len(h.places))
-	var size, away [1 << 8]int // by zone
+	var size, away perZone
 	for i, place := range h.places {
 		members[i] = Member{State: Live, Zone: place.Zone, Rack: place.Rack}
 		switch {
@@ -73,5 +83,12 @@
 			members[i].State, h.gone[i] = Gone, true
 		}
 	}
+	for i := range members {
+		// Risk: a publisher that has just begun gives partitions to relays that leave.
+		if members[i].State == Live && !h.heard[i] {
+			members[i].State = Away
+		}
+	}
+	h.leave(now, members, size)
 	return members
 }
--- a/internal/assignment/plan.go
+++ b/internal/assignment/plan.go
@@ -11,9 +11,10 @@
 type State uint8
 
 const (
-	Gone State = iota // serves nothing; its replicas are given to others
-	Live              // serves
-	Away              // not heard of of late: keeps its replicas, and gets no more
+	Gone    State = iota // serves nothing; its replicas are given to others
+	Live                 // serves
+	Away                 // not heard of of late: keeps its replicas, and gets no more
+	Leaving              // serves until its replicas have been given to others
 )
 
 // Member is a relay of a region, with its failure domains.
@@ -41,11 +42,11 @@
 // The member at index i is relay i. Each partition's replicas are in different
 // racks, and at most half of them in one zone, as far as relays serve there.
 //
-// Replicas stay where they are, except those of relays that are gone and those
-// that relays without their part take over, so that the share of replicas that
+// Replicas stay where they are, except those of relays that are gone or leave and
+// those that relays without their part take over, so that the share of replicas that
 // move is about the share of relays that went or came. A partition whose latest
 // change is not settled does not change again: settled tells of each whether it is,
-// nil that all are.
+// nil that all are. Of a partition, relays that serve give one replica away with a map.
 func Plan(shape Shape, previous *Map, members []Member, settled func(Partition) bool) (*Map, error) {
 	if err := shape.check(len(members)); err != nil {
 		return nil, err
@@ -80,15 +81,16 @@
 	members  []Member
 	replicas [][]Relay // of each partition
 	frozen   []bool    // partitions that don't change
+	gives    []bool    // partitions of which a relay that serves gives a replica away
 	load     []int     // partitions of each relay
 	live     [][]Relay // that are Live, by zone
-	serving  int       // relays that are Live or Away
+	serving  int       // relays that are not Gone
 	zones    int       // with a relay that is
 }
 
 func newPlanner(shape Shape, members []Member) *planner {
 	p := &planner{shape: shape, members: members, replicas: make([][]Relay, shape.Partitions),
-		frozen: make([]bool, shape.Partitions), load: make([]int, len(members))}
+		frozen: make([]bool, shape.Partitions), gives: make([]bool, shape.Partitions), load: make([]int, len(members))}
 	seen := map[Zone]bool{}
 	for i, m := range members {
 		if m.State == Gone {
@@ -118,13 +120,27 @@
 			continue
 		}
 		for _, r := range previous.Replicas(Partition(partition)) {
-			if int(r) < len(p.members) && p.members[r].State != Gone {
+			if p.stays(Partition(partition), r) {
 				p.add(Partition(partition), r)
 			}
 		}
 	}
 }
 
+// stays tells whether a replica of the map before goes on. Risk: two that are given
+// away at once are those of one zone, where nobody serves until the new ones have
+// the map.
+func (p *planner) stays(partition Partition, r Relay) bool {
+	switch {
+	case int(r) >= len(p.members) || p.members[r].State == Gone:
+		return false
+	case p.members[r].State == Leaving && !p.gives[partition]:
+		p.gives[partition] = true
+		return false
+	}
+	return true
+}
+
 // count books the load of replicas that stay whatever their relays are taken for.
 func (p *planner) count(replicas []Relay) {
 	for _, r := range replicas {
@@ -187,7 +203,8 @@
 }
 
 // anyone chooses the least loaded relay that does not serve the partition yet,
-// wherever it is, where no zone and rack has room; one that is away if need be.
+// wherever it is, where no zone and rack has room; one that is away or leaves if
+// need be.
 func (p *planner) anyone(partition Partition) Relay {
 	best := -1
 	for i, m := range p.members {
@@ -266,7 +283,7 @@
 			continue
 		}
 		at := slices.Index(p.replicas[partition], from)
-		p.replicas[partition][at] = r
+		p.replicas[partition][at], p.gives[partition] = r, true
 		p.load[from]--
 		p.load[r]++
 	}
@@ -275,7 +292,7 @@
 // richest finds the replica of a partition that may best give it to r: one of its
 // zone with at least mean partitions, the others in other racks than r.
 func (p *planner) richest(partition Partition, r Relay, mean int) (from Relay, found bool) {
-	if p.frozen[partition] || slices.Contains(p.replicas[partition], r) {
+	if p.frozen[partition] || p.gives[partition] || slices.Contains(p.replicas[partition], r) {
 		return 0, false
 	}
 	for _, other := range p.replicas[partition] {
--- a/internal/cli/assignment.go
+++ b/internal/cli/assignment.go
@@ -191,7 +191,7 @@
 }
 
 func readMember(fields []string) (number int, m assignment.Member, err error) {
-	states := map[string]assignment.State{"live": assignment.Live, "away": assignment.Away, "gone": assignment.Gone}
+	states := map[string]assignment.State{"live": assignment.Live, "away": assignment.Away, "gone": assignment.Gone, "leaving": assignment.Leaving}
 	relay, err := strconv.ParseUint(fields[0], 10, 16)
 	if err != nil || relay >= assignment.MaxRelays {
 		return 0, m, fmt.Errorf("relay: %q, 0 to %d wanted", fields[0], assignment.MaxRelays-1)
--- a/internal/lab/command/assignment.go
+++ b/internal/lab/command/assignment.go
@@ -29,7 +29,7 @@
 	flags.IntVar(&base.Partitions, "partitions", assignment.DefaultPartitions, "partitions of each region")
 	flags.IntVar(&base.Replicas, "replicas", assignment.DefaultReplicas, "replicas of each partition")
 	flags.Float64Var(&base.Loss, "loss", 0.1, "share of datagrams that are lost")
-	flags.StringSliceVar(&names, "event", nil, "what happens: relay, rack, zone, restart, controls, \"all control\", \"mass start\"; all where none is named")
+	flags.StringSliceVar(&names, "event", nil, "what happens: relay, rack, zone, leave, restart, controls, \"all control\", \"mass start\"; all where none is named")
 	flags.Int64Var(&base.Seed, "seed", 1, "what chance is drawn from")
 	flags.StringVar(&out, "out", "", "write a row for each region and event into a Parquet `file`")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
--- a/internal/lab/region/events.go
+++ b/internal/lab/region/events.go
@@ -15,6 +15,7 @@
 	LoseRelay      Event = "relay"       // one goes, and returns after its replicas were given to others
 	LoseRack       Event = "rack"        // the same of a whole rack
 	LoseZone       Event = "zone"        // the same of a zone, whose replicas stay
+	LeaveRack      Event = "leave"       // a rack leaves as planned, goes, and returns
 	Restart        Event = "restart"     // a tenth of all relays, away for 10 s
 	LoseControls   Event = "controls"    // a third of the control machines and a rack
 	LoseAllControl Event = "all control" // for ten minutes
@@ -22,7 +23,7 @@
 )
 
 // Events are all that can be played.
-var Events = []Event{LoseRelay, LoseRack, LoseZone, Restart, LoseControls, LoseAllControl, MassStart}
+var Events = []Event{LoseRelay, LoseRack, LoseZone, LeaveRack, Restart, LoseControls, LoseAllControl, MassStart}
 
 const (
 	settleBy  = time.Minute            // for a new region to be whole
@@ -94,6 +95,8 @@
 		p.goAndReturn(p.Rack(p.Config.Zones), goneBy)
 	case LoseZone:
 		p.goAndReturn(p.Zone(1), 2*goneBy)
+	case LeaveRack:
+		p.leaveAndReturn(p.Rack(p.Config.Zones))
 	case Restart:
 		p.goAndReturn(p.tenth(), 10*time.Second)
 	case LoseControls:
@@ -129,6 +132,22 @@
 	p.Moved, p.MovedBack = p.share(second, first), p.share(p.Published(), second)
 }
 
+// leaveAndReturn has relays leave as planned, each go once it is free to, and
+// return.
+func (p *play) leaveAndReturn(relays []int) {
+	p.Hit = len(relays)
+	first := p.Published()
+	p.LeaveAll(relays, true)
+	for end := p.Now + goneBy; p.Now < end; {
+		p.follow(time.Second)
+		p.StopReleased(relays)
+	}
+	second := p.Published()
+	p.StartAll(relays)
+	p.follow(backBy)
+	p.Moved, p.MovedBack = p.share(second, first), p.share(p.Published(), second)
+}
+
 // loseAllControl has every control machine go for ten minutes, and a tenth of the
 // relays restart meanwhile.
 func (p *play) loseAllControl() error {
--- /dev/null
+++ b/internal/lab/region/leave_test.go
@@ -0,0 +1,113 @@
+package region
+
+import (
+	"testing"
+	"time"
+
+	"oatfold/internal/assignment"
+)
+
+// leaveBy bounds how long a planned leave takes: the map changes, and a tenth of the datagrams is lost.
+const leaveBy = 5 * time.Second
+
+// A relay or a rack that leaves as planned is free to go within seconds, moves its share once, and leaves no destination in one zone alone.
+func TestPlannedLeave(t *testing.T) {
+	for name, pick := range map[string]func(w *World) []int{
+		"relay": func(*World) []int { return []int{1234} },
+		"rack":  func(w *World) []int { return w.Rack(17) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			anywhere(t, func(t *testing.T, w *World) {
+				relays := pick(w)
+				share := float64(len(relays)) / float64(w.Config.Relays)
+				all := float64(w.Config.Partitions * w.Config.Replicas)
+				inBoth := func(c Cover) {
+					if c.NoZone+c.OneZone > 0 {
+						t.Fatalf("at %v %+v", w.Now, c)
+					}
+				}
+				before, began, stopped := w.Published(), w.Now, 0
+				w.LeaveAll(relays, true)
+				w.watch(leaveBy, func(c Cover) {
+					inBoth(c)
+					if n := w.StopReleased(relays); n > 0 {
+						stopped += n
+						t.Logf("%d of %d relays went after %v", stopped, len(relays), w.Now-began)
+					}
+				})
+				if stopped < len(relays) {
+					t.Fatalf("%d of %d relays were free to go within %v", stopped, len(relays), leaveBy)
+				}
+				left := w.Published()
+				if moved := float64(left.Moved(before)) / all; moved == 0 || moved > 2*share {
+					t.Errorf("%.4f of replicas moved, %.4f of relays left", moved, share)
+				}
+				w.watch(80*time.Second, inBoth) // nobody takes them for lost as well
+				if moved := w.Published().Moved(left); moved > 0 {
+					t.Errorf("%d replicas moved once more", moved)
+				}
+				w.StartAll(relays)
+				w.watch(20*time.Second, inBoth)
+				if moved := float64(w.Published().Moved(left)) / all; moved == 0 || moved > 2*share {
+					t.Errorf("%.4f of replicas moved, %.4f of relays came back", moved, share)
+				}
+			})
+		})
+	}
+}
+
+// A zone that is to leave as a whole goes an eighth at a time; every destination stays in both zones meanwhile. The publisher dies in the
+// middle, and its successor goes on.
+func TestZoneLeavesByParts(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		zone := w.Zone(1)
+		w.LeaveAll(zone, true)
+		inBoth := func(c Cover) {
+			if c.NoZone+c.OneZone > 0 {
+				t.Fatalf("at %v %+v", w.Now, c)
+			}
+		}
+		w.watch(2*leaveBy, inBoth)
+		first := w.StopReleased(zone)
+		if most := len(zone) / 8; first == 0 || first > most {
+			t.Fatalf("%d of %d relays left at once, %d may", first, len(zone), most)
+		}
+		w.StopControl(w.Publisher())
+		w.watch(90*time.Second, inBoth)
+		second := w.StopReleased(zone)
+		if most := len(zone) / 8; second == 0 || second > 2*most {
+			t.Errorf("%d more relays left", second)
+		}
+		t.Logf("%d, then %d of %d relays left", first, second, len(zone))
+	})
+}
+
+// Relays that change their mind get a part again, and destinations stay in both zones.
+func TestLeaveIsTakenBack(t *testing.T) {
+	anywhere(t, func(t *testing.T, w *World) {
+		rack := w.Rack(17)
+		w.LeaveAll(rack, true)
+		w.Run(w.Now + 2*time.Second)
+		w.LeaveAll(rack, false)
+		w.watch(90*time.Second, func(c Cover) {
+			if c.NoZone+c.OneZone > 0 {
+				t.Fatalf("at %v %+v", w.Now, c)
+			}
+		})
+		if n := len(w.Outdated(w.Published())); n > 0 {
+			t.Errorf("%d relays hold something else than the map", n)
+		}
+		load := map[assignment.Relay]int{}
+		m := w.Published()
+		for p := range m.Partitions() {
+			for _, r := range m.Replicas(assignment.Partition(p)) {
+				load[r]++
+			}
+		}
+		for _, i := range rack {
+			if load[assignment.Relay(i)] == 0 {
+				t.Errorf("relay %d serves nothing", i)
+			}
+		}
+	})
+}
--- a/internal/lab/region/world.go
+++ b/internal/lab/region/world.go
@@ -160,6 +160,25 @@
 	}
 }
 
+// LeaveAll has relays say that they leave, or that they stay after all.
+func (w *World) LeaveAll(relays []int, leave bool) {
+	for _, i := range relays {
+		w.Relays[i].Follower.Leave(leave)
+	}
+}
+
+// StopReleased ends the relays among these that leave and have no replicas any
+// more, and counts them.
+func (w *World) StopReleased(relays []int) (stopped int) {
+	for _, i := range relays {
+		if w.Relays[i].Up && w.Relays[i].Follower.Released() {
+			w.StopRelay(i)
+			stopped++
+		}
+	}
+	return stopped
+}
+
 // Rack returns the relays of a rack.
 func (w *World) Rack(number int) (relays []int) {
 	for i, place := range w.Places {
@@ -322,7 +341,7 @@
 	case assignment.Published:
 		return int64(fixed + len(m.Map))
 	case assignment.Heard:
-		return int64(fixed + 8*len(m.Relays))
+		return int64(fixed + 8*(len(m.Relays)+len(m.Leaving)))
 	}
 	return fixed
 }
