--- a/internal/assignment/leave_test.go
+++ b/internal/assignment/leave_test.go
@@ -164,6 +164,22 @@
 	}
 }
 
+// oneMoves checks that each partition has all replicas of the map before but one at most.
+func oneMoves(t *testing.T, before, next *Map) {
+	t.Helper()
+	for p := range Partition(small.Partitions) {
+		kept := 0
+		for _, r := range before.Replicas(p) {
+			if next.Serves(r, p) {
+				kept++
+			}
+		}
+		if kept < small.Replicas-1 {
+			t.Fatalf("partition %d kept %d of %v: %v", p, kept, before.Replicas(p), next.Replicas(p))
+		}
+	}
+}
+
 // Of the replicas of a partition that leave, one is given to another relay with each map; where nobody else is there, they stay.
 func TestOneReplicaLeavesWithAMap(t *testing.T) {
 	at := places(40, 2)
@@ -174,17 +190,7 @@
 	}
 	for range both {
 		next := mustPlan(t, small, m, at)
-		for p := range Partition(small.Partitions) {
-			kept := 0
-			for _, r := range m.Replicas(p) {
-				if next.Serves(r, p) {
-					kept++
-				}
-			}
-			if kept < small.Replicas-1 {
-				t.Fatalf("partition %d kept %d of %v: %v", p, kept, m.Replicas(p), next.Replicas(p))
-			}
-		}
+		oneMoves(t, m, next)
 		m = next
 	}
 	for p := range Partition(small.Partitions) {
@@ -230,15 +236,5 @@
 	if next.Moved(m) == 0 {
 		t.Fatal("nothing moves to those that came back")
 	}
-	for p := range Partition(small.Partitions) {
-		kept := 0
-		for _, r := range m.Replicas(p) {
-			if next.Serves(r, p) {
-				kept++
-			}
-		}
-		if kept < small.Replicas-1 {
-			t.Errorf("partition %d kept %d of %v: %v", p, kept, m.Replicas(p), next.Replicas(p))
-		}
-	}
+	oneMoves(t, m, next)
 }
--- a/internal/lab/region/leave_test.go
+++ b/internal/lab/region/leave_test.go
@@ -21,11 +21,7 @@
 				relays := pick(w)
 				share := float64(len(relays)) / float64(w.Config.Relays)
 				all := float64(w.Config.Partitions * w.Config.Replicas)
-				inBoth := func(c Cover) {
-					if c.NoZone+c.OneZone > 0 {
-						t.Fatalf("at %v %+v", w.Now, c)
-					}
-				}
+				inBoth := w.inBothZones(t)
 				before, began, stopped := w.Published(), w.Now, 0
 				w.LeaveAll(relays, true)
 				w.watch(leaveBy, func(c Cover) {
@@ -62,11 +58,7 @@
 	anywhere(t, func(t *testing.T, w *World) {
 		zone := w.Zone(1)
 		w.LeaveAll(zone, true)
-		inBoth := func(c Cover) {
-			if c.NoZone+c.OneZone > 0 {
-				t.Fatalf("at %v %+v", w.Now, c)
-			}
-		}
+		inBoth := w.inBothZones(t)
 		w.watch(2*leaveBy, inBoth)
 		first := w.StopReleased(zone)
 		if most := len(zone) / 8; first == 0 || first > most {
@@ -89,11 +81,7 @@
 		w.LeaveAll(rack, true)
 		w.Run(w.Now + 2*time.Second)
 		w.LeaveAll(rack, false)
-		w.watch(90*time.Second, func(c Cover) {
-			if c.NoZone+c.OneZone > 0 {
-				t.Fatalf("at %v %+v", w.Now, c)
-			}
-		})
+		w.watch(90*time.Second, w.inBothZones(t))
 		if n := len(w.Outdated(w.Published())); n > 0 {
 			t.Errorf("%d relays hold something else than the map", n)
 		}
--- a/internal/lab/region/region_test.go
+++ b/internal/lab/region/region_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// inBothZones fails the test where a partition is not served in both zones.
+func (w *World) inBothZones(t *testing.T) func(Cover) {
+	return func(c Cover) {
+		t.Helper()
+		if c.NoZone+c.OneZone > 0 {
+			t.Fatalf("at %v %+v", w.Now, c)
+		}
+	}
+}
+
 // A relay or a rack that goes for good and comes back moves its share each time, at most twice that, and every destination
 // is served in both zones all the time.
 func TestRelayAndRackGoAndReturn(t *testing.T) {
@@ -67,11 +77,7 @@
 				relays := lost(w)
 				share := float64(len(relays)) / float64(w.Config.Relays)
 				all := float64(w.Config.Partitions * w.Config.Replicas)
-				inBoth := func(c Cover) {
-					if c.NoZone+c.OneZone > 0 {
-						t.Fatalf("at %v %+v", w.Now, c)
-					}
-				}
+				inBoth := w.inBothZones(t)
 				before := w.Published()
 				w.StopAll(relays)
 				w.watch(80*time.Second, inBoth)
