Take with a lost zone what lies there alone, and look through all that a relay logs

Relays then took zone-3 for lost, and had no calls left to see zone-1 by: 4 to 6 of 8 survivors saw it. losesAll and losesEndpoint follow the emulator's rule now; TestLossOfAZoneTakesWhatLiesThere fails without them. It is looked through to 50,000 lines now all the same: Logged counted the last 400 only.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -6,6 +6,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -479,7 +480,7 @@
 	case emu.Vanish, emu.Crash, emu.Shut:
 		for _, ways := range r.routes { // some endpoints of partners, as every relay finds them
 			for _, one := range ways {
-				if d := r.day.Dests[one.dest]; slices.Contains(t.Parts, [2]int{one.dest, one.end}) || t.Zone != "" && d.OnlyZone() == "" && d.Endpoints[one.end].Zone == t.Zone {
+				if slices.Contains(t.Parts, [2]int{one.dest, one.end}) || losesEndpoint(&r.day.Dests[one.dest], one.end, t.Zone) {
 					one.way.Set(link.Course{Refuse: s.begins})
 				}
 			}
@@ -489,7 +490,7 @@
 			mode = standin.Well
 		}
 		for i, d := range r.day.Dests {
-			if slices.Contains(t.Dests, i) || t.Zone != "" && (d.Zone == t.Zone || d.OnlyZone() == t.Zone) {
+			if slices.Contains(t.Dests, i) || losesAll(&d, t.Zone) {
 				if err := r.world.Partners[1+i].Set(mode, 1); err != nil {
 					return err
 				}
@@ -529,6 +530,21 @@
 	return nil
 }
 
+// losesAll tells whether the loss of a zone takes a destination with all its endpoints: they all lie there, or they name no zone of their
+// own and the destination does. Risk: one that names a zone and has endpoints in several is taken whole, and relays blame the other zones.
+func losesAll(d *emu.Dest, zone string) bool {
+	return zone != "" && cmp.Or(d.OnlyZone(), d.Zone) == zone && !inSeveralZones(d)
+}
+
+// losesEndpoint tells whether the loss of a zone takes that endpoint of a destination that has others elsewhere.
+func losesEndpoint(d *emu.Dest, end int, zone string) bool {
+	return zone != "" && inSeveralZones(d) && cmp.Or(d.Endpoints[end].Zone, d.Zone) == zone
+}
+
+func inSeveralZones(d *emu.Dest) bool {
+	return slices.ContainsFunc(d.Endpoints, func(e emu.Endpoint) bool { return e.Zone != d.Endpoints[0].Zone })
+}
+
 // setWays has the links do what all troubles that hold ask for together.
 func (r *run) setWays() {
 	w := link.Ways{Deaf: map[int]bool{}, Mute: map[int]bool{}}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -116,6 +116,42 @@
 	}
 }
 
+// The loss of a zone takes what lies there, as the emulator plays it: the endpoints there of a destination that has others elsewhere, whatever
+// zone the destination itself names.
+func TestLossOfAZoneTakesWhatLiesThere(t *testing.T) {
+	ends := func(zones ...string) (all []emu.Endpoint) {
+		for _, z := range zones {
+			all = append(all, emu.Endpoint{Zone: z})
+		}
+		return all
+	}
+	for _, c := range []struct {
+		name  string
+		dest  emu.Dest
+		all   bool
+		parts []bool
+	}{
+		{"several zones, one of them its own", emu.Dest{Zone: "zone-1", Endpoints: ends("zone-1", "zone-2", "zone-1")}, false, []bool{true, false, true}},
+		{"several zones, none lost", emu.Dest{Zone: "zone-1", Endpoints: ends("zone-2", "zone-3")}, false, []bool{false, false}},
+		{"there alone", emu.Dest{Zone: "zone-2", Endpoints: ends("zone-1", "zone-1")}, true, []bool{false, false}},
+		{"elsewhere alone", emu.Dest{Zone: "zone-1", Endpoints: ends("zone-2", "zone-2")}, false, []bool{false, false}},
+		{"endpoints name none", emu.Dest{Zone: "zone-1", Endpoints: ends("", "")}, true, []bool{false, false}},
+		{"some name none", emu.Dest{Zone: "zone-1", Endpoints: ends("", "zone-2")}, false, []bool{true, false}},
+	} {
+		if got := losesAll(&c.dest, "zone-1"); got != c.all {
+			t.Errorf("%s: taken whole: %v", c.name, got)
+		}
+		for end, want := range c.parts {
+			if got := losesEndpoint(&c.dest, end, "zone-1"); got != want {
+				t.Errorf("%s: endpoint %d taken: %v", c.name, end, got)
+			}
+		}
+		if losesAll(&c.dest, "") || losesEndpoint(&c.dest, 0, "") {
+			t.Errorf("%s: taken by a trouble that names no zone", c.name)
+		}
+	}
+}
+
 // The checker finds each broken rule, and none where there is none.
 func TestJudges(t *testing.T) {
 	d := &emu.Day{Relays: 4, Zones: 2, Troubles: []emu.Trouble{{Kind: emu.RelayCrash, Relays: []int{1}}, {Kind: emu.Cut, Zone: "zone-2"}}}
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -58,7 +58,10 @@
 	Tap       func(line string) // not nil: told of each line that the relay logs
 }
 
-const logKept = 400
+const (
+	logKept  = 50_000 // lines of each relay that are looked through; more than any test makes it log
+	logShown = 400    // of these, the last ones are shown where a test fails
+)
 
 // StartRelay starts a relay of the world with these arguments and waits until it is ready.
 func (w *World) StartRelay(bin string, args ...string) (*Relay, error) {
@@ -284,7 +287,7 @@
 func (r *Relay) Log() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return strings.Join(r.log, "\n")
+	return strings.Join(r.log[max(0, len(r.log)-logShown):], "\n")
 }
 
 // Logged counts the lines of the log that hold text.
