Book a new connection that is cut before a charge's last byte as no connection

Only a connection that has served before tells of itself alone; a new one tells that nothing gets through: ConnectFailed, like a refused write. TestCareful asked for Unsent there: its case is replaced by two, new and used.

--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -80,10 +80,22 @@
 // errHeldBack ends a call whose destination told a wait, or whose endpoint was drained, while it was dialled.
 var errHeldBack = errors.New("destination may not be sent to now")
 
-// errCutOff ends a call whose connection ended, or spoke, before the last byte was written. It tells of that connection, not of
-// the endpoint's health.
+// errCutOff ends a call whose connection spoke before the last byte was written, or ended so and had served other calls. It tells of
+// that connection, not of the endpoint's health.
 var errCutOff = errors.New("connection cut before the last byte")
 
+// errCutAtOnce ends a call whose new connection ended before the last byte was written: nothing gets through to the endpoint.
+var errCutAtOnce = errors.New("new connection cut before the last byte")
+
+// cutOff names what a connection's end, or first byte, before the last byte of a call tells. err is nil where the endpoint spoke.
+// Risk: an endpoint that takes connections and resets each uses up all attempts of a charge within a moment, and is never taken for out.
+func (c *routeConn) cutOff(err error) error {
+	if err != nil && c.answered.IsZero() {
+		return errCutAtOnce
+	}
+	return errCutOff
+}
+
 // errTableFull ends a call whose endpoint holds as many connections as it can.
 var errTableFull = errors.New("endpoint takes no further connection")
 
@@ -312,7 +324,7 @@
 		// written, the call has not run and may be made again.
 		c.sock.SetReadDeadline(time.Now().Add(cl.careful))
 		if _, err := c.r.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
-			fail(errCutOff)
+			fail(c.cutOff(err))
 			return res
 		}
 		// Guards against a wait, a drain or the process's end in the time of that look.
--- a/internal/wire/route_test.go
+++ b/internal/wire/route_test.go
@@ -321,15 +321,22 @@
 }
 
 // A connection that is reset, or speaks, as the request of a charge comes proves that it never ran; one that holds gets
-// the last byte.
+// the last byte. A new one that ends so tells that nothing gets through, one that has served other calls tells of itself alone.
 func TestCareful(t *testing.T) {
 	for name, c := range map[string]struct {
 		answer string
 		close  bool
+		served bool          // the connection has carried a call before
 		look   time.Duration // a minute is a bound for a hang, not a measure
 		want   policy.Outcome
-	}{"holds": {rep("200 OK", ""), false, time.Millisecond, policy.Delivered}, "cut": {"", true, time.Minute, policy.Unsent},
-		"speaks": {rep("200 OK", ""), true, time.Minute, policy.Unsent}} {
+	}{
+		"holds":               {rep("200 OK", ""), false, false, time.Millisecond, policy.Delivered},
+		"cut":                 {"", true, false, time.Minute, policy.ConnectFailed},
+		"speaks":              {rep("200 OK", ""), true, false, time.Minute, policy.Unsent},
+		"served, then holds":  {rep("200 OK", ""), false, true, time.Millisecond, policy.Delivered},
+		"served, then cut":    {"", true, true, time.Minute, policy.Unsent},
+		"served, then speaks": {rep("200 OK", ""), true, true, time.Minute, policy.Unsent},
+	} {
 		ln, read := listen(t), make(chan string, 1)
 		go func() {
 			sock, err := ln.Accept()
@@ -338,6 +345,15 @@
 			}
 			defer sock.Close()
 			b := make([]byte, maxLine)
+			if c.served {
+				for all := ""; !strings.HasSuffix(all, "\r\n\r\nbefore"); {
+					n, err := sock.Read(b)
+					if all += string(b[:n]); err != nil {
+						return
+					}
+				}
+				io.WriteString(sock, rep("200 OK", ""))
+			}
 			n, _ := sock.Read(b) // all but the last byte: it comes only when the connection was seen to hold
 			if !c.close {
 				m, _ := io.ReadAtLeast(sock, b[n:], 1)
@@ -348,7 +364,15 @@
 		}()
 		ep := &endpoint{addr: ln.Addr().String(), gate: &gate{}}
 		rc := &routeConn{ep: ep, dialTimeout: time.Minute}
-		res := rc.carry(&call{ep: ep, careful: c.look, items: []item{{id: "a", body: []byte("hello")}}, deadline: time.Now().Add(2 * time.Minute)})
+		carry := func(id, body string, careful time.Duration) callEnded {
+			return rc.carry(&call{ep: ep, careful: careful, items: []item{{id: id, body: []byte(body)}}, deadline: time.Now().Add(2 * time.Minute)})
+		}
+		if c.served {
+			if res := carry("b", "before", 0); !res.keep {
+				t.Fatalf("%s: first call: %+v, %v", name, res.ends, res.err)
+			}
+		}
+		res := carry("a", "hello", c.look)
 		rc.drop()
 		if got := <-read; res.ends[0].outcome != c.want || strings.HasSuffix(got, "hello") == c.close {
 			t.Errorf("%s: outcome %v, %v; read %q", name, res.ends[0].outcome, res.err, got)
