--- a/internal/wire/attempts.go
+++ b/internal/wire/attempts.go
@@ -174,7 +174,7 @@
 		m.Out = nil
 		switch r.outcome {
 		case policy.Delivered:
-		case policy.Rejected, policy.ConnectFailed, policy.Unsent:
+		case policy.Rejected, policy.ConnectFailed, policy.CutShort, policy.Unsent:
 			// Guards against a proof for a step that is not in the journal: it would count for the one before.
 			if !e.call.unrecorded {
 				h.journal.NotRun(m)
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -56,6 +56,8 @@
 	switch {
 	case errors.Is(e.Err, errHeldBack), errors.Is(e.Err, errCutOff):
 		return policy.Unsent
+	case errors.Is(e.Err, errCutAtOnce):
+		return policy.CutShort
 	case e.NeverRan():
 		return policy.ConnectFailed
 	case e.Stage == Answered, spoilt(e.Err):
--- a/policy/api.go
+++ b/policy/api.go
@@ -135,6 +135,7 @@
 	Broken                // the connection broke; it may have run
 	Cancelled             // called off; it may have run
 	Unsent                // never sent
+	CutShort              // a new connection ended before all of the call was written; it never ran
 )
 
 // Ended reports the end of an attempt. Each Send gets exactly one.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -511,7 +511,7 @@
 		l.refusedAt = r.now
 		l.pressed, ep.whim = true, unusedCost*(2+r.rng.Float64()) // another endpoint may have room
 		r.grow(l, c, Rejected)
-	case Errored, TimedOut, ConnectFailed, Broken:
+	case Errored, TimedOut, ConnectFailed, Broken, CutShort:
 		r.failed(l, c, e.Outcome)
 	}
 	r.stateOf(l)
@@ -535,7 +535,7 @@
 		ep.noConnAt = 0
 		r.soon[l.dest.kind] += (1 - r.soon[l.dest.kind]) * lossWeight
 	}
-	l.run, l.hardRun, l.lastOK, ep.fails = 0, 0, r.now, 0
+	l.run, l.hardRun, l.lastOK, ep.fails, l.swallows = 0, 0, r.now, 0, false
 	ep.whim = min(ep.whim, unusedCost*r.rng.Float64())
 	l.bad -= l.bad * shareWeight
 	if l.gap = part(l.gap, cutPerSuccess); l.told || !r.counts(l) {
@@ -616,7 +616,7 @@
 		return
 	}
 	r.grow(l, c, o)
-	if l.hardRun++; o != Errored {
+	if l.countFailure(o); o != Errored {
 		l.rampAt = r.now // Risk: who saw it back before it failed again takes it for warm
 	}
 	l.bad += (1 - l.bad) * shareWeight
@@ -877,10 +877,11 @@
 	r.spare = r.spare[:0]
 }
 
-// suits keeps unsafe messages from being the trickle into a line that may swallow them. Risk: where no others
-// come for it, nobody finds out that it is back; after a while without any call one of them goes.
+// suits keeps unsafe messages from being the trickle into a line that may swallow them: one of whose failures
+// in a row some may have run. Risk: where no others come for it, nobody finds out that it is back; after a
+// while without any call one of them goes.
 func (r *Relay) suits(m *message, l *line) bool {
-	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || l.hardRun == 0 ||
+	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || !l.swallows ||
 		r.now-l.claimed > rateMemory
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,6 +103,7 @@
 	state            lineState
 	rampAt           Time
 	run, hardRun     int  // calls in a row without a success, and failures among them
+	swallows         bool // one of those failures may have run
 	runAt, lastOK    Time // when that run began, and the last success
 	bad              float64
 	latency, recent  time.Duration // usual, and of late
@@ -208,6 +209,12 @@
 	}
 }
 
+// countFailure books one more failed call in a row.
+func (l *line) countFailure(o Outcome) {
+	l.hardRun++
+	l.swallows = l.swallows || o != ConnectFailed && o != CutShort
+}
+
 func (l *line) slow() bool { return l.recent > slowLatencies*l.latency }
 
 // warm tells whether ep seems to have an open connection.
