Ramp many senders by the sum of their rates, and go on at that pace when warm

The slot follows the mean warmth since the last call now (line.meanRamp). Ruled out: news, told waits, turns, first calls spread over a slot. The slot of the ramp's end stays and each success cuts it. Each unit test fails without its part.

--- a/internal/lab/rehearse/rehearse_test.go
+++ b/internal/lab/rehearse/rehearse_test.go
@@ -52,7 +52,9 @@
 				if n := is.Res.Delivered + is.Res.GivenUp + is.Res.HandedBack + is.Res.Lost; n != is.Res.Requests || is.Res.Lost > was.Res.Lost {
 					t.Errorf("%d ends of %d messages, %d lost", n, is.Res.Requests, is.Res.Lost)
 				}
-				if is.Overload > max(1.12, was.Overload+0.12) {
+				if c == Burst && each == 27 {
+					checkMeanOverload(t, p, c, each, was.Overload, is.Overload)
+				} else if is.Overload > max(1.12, was.Overload+0.12) {
 					t.Errorf("survivors were sent %.2f of what they take, %.2f without the plan", is.Overload, was.Overload)
 				}
 				if is.Lost > was.Lost*5/4+10 {
@@ -72,6 +74,27 @@
 	}
 }
 
+// checkMeanOverload holds the mean of four days to half of the margin that a single one has. The overload is the most in any 2 s of a day: on the
+// day of a burst it spreads from 1.17 to 1.38 over ten seeds of one build, so that one day against one other tells of the seed. with and without
+// are those of seed 5.
+func checkMeanOverload(t *testing.T, p *sites.Plan, c Case, each int, without, with float64) {
+	t.Helper()
+	const days, margin = 4, 0.06
+	sum := [2]float64{without, with}
+	for seed := uint64(6); seed < 5+days; seed++ {
+		for arm := range sum {
+			o, err := Play(Set{Plan: p, Lost: "porto", Case: c, Relays: each, Seed: seed, Act: arm == 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum[arm] += o.Overload
+		}
+	}
+	if was, is := sum[0]/days, sum[1]/days; is > max(1.12, was+margin) {
+		t.Errorf("survivors were sent %.3f of what they take in the mean of %d days, %.3f without the plan", is, days, was)
+	}
+}
+
 // What the plan forecasts comes true in virtual time, for each class and site, on two seeds.
 func TestPlanAndRehearsalAgree(t *testing.T) {
 	p := example(t)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -450,11 +450,12 @@
 	return r.now < l.countsTil || r.again[l.dest.kind] < downShare
 }
 
-// coldGap is the slot for a line that is out, or ramping since rampAt.
+// coldGap is the slot for a line that is out, or ramping: by its mean warmth since the last call. Risk: by
+// that of now, slots of many senders with a call each end together: more than their rates add up to.
 func (r *Relay) coldGap(l *line) time.Duration {
 	warm := max(r.set.ColdFrom, 0.05)
 	if l.state == ramping {
-		warm = min(1, warm+(1-warm)*float64(r.now-l.rampAt)/float64(max(r.set.ColdTime, 1)))
+		warm = min(1, warm+(1-warm)*l.meanRamp(r.now)/float64(max(r.set.ColdTime, 1)))
 	}
 	if l.usual.Allowed > 0 {
 		return seconds(1 / (l.usual.Allowed * warm * coldNews)) // not by demand: that may be more
@@ -607,8 +608,8 @@
 		}
 		ep.noConnAt, r.noConn[l.dest.kind] = r.now, r.now
 	}
-	if o == TimedOut && l.lastOK >= c.sentAt {
-		return // others were answered meanwhile: the message was heavy, not the line sick
+	if o == TimedOut && (l.lastOK >= c.sentAt || r.now-c.sentAt < l.latency) {
+		return // others were answered meanwhile, or it was too early: it was heavy, or out of time
 	}
 	if o == ConnectFailed && ep.calls > 0 && l.lastOK >= c.sentAt {
 		// Risk: the endpoint's connection table is full. Keep to the calls that got through.
@@ -643,7 +644,7 @@
 	case l.state == ramping && (l.hardRun >= outageRun || l.hardRun > 0 && l.bad > outageShare):
 		r.become(l, out)
 	case l.state == ramping && r.now-l.rampAt > r.set.ColdTime:
-		l.bad = 0
+		l.bad, l.gap = 0, max(l.gap, r.coldGap(l)) // not all that waits at once
 		r.become(l, healthy)
 		r.note("destination %d: warm again", l.dest.id)
 	}
@@ -877,9 +878,8 @@
 	r.spare = r.spare[:0]
 }
 
-// suits keeps unsafe messages from being the trickle into a line that may swallow them: one of whose failures
-// in a row some may have run. Risk: where no others come for it, nobody finds out that it is back; after a
-// while without any call one of them goes.
+// suits keeps unsafe messages from being the trickle into a line that may swallow them, as a failed call may
+// have run. Risk: where no others come for it, nobody finds out that it is back; after a while one goes.
 func (r *Relay) suits(m *message, l *line) bool {
 	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || !l.swallows ||
 		r.now-l.claimed > rateMemory
--- /dev/null
+++ b/policy/ramp_test.go
@@ -0,0 +1,84 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// What many senders with one call each send to a line that ramps is what their rates add up to, wherever in its slot each of them was as
+// the ramp began: a slot that shortens while they wait for it lets no more of them go.
+func TestManySendersRampByTheSumOfTheirRates(t *testing.T) {
+	const senders = 400
+	b := start(t, func(s *Settings) { s.Senders = senders })
+	r := b.r
+	base := r.dests[4].lines[0]
+	base.state, base.rampAt = ramping, r.now
+	rampAt, first := r.now, r.coldGap(base)
+	var lines []*line
+	for i := range senders {
+		l := *base
+		l.claimed, l.jitter = rampAt-first*time.Duration(i)/senders, 1
+		lines = append(lines, &l)
+	}
+	sent, due := 0, 0.0
+	const step = 10 * time.Millisecond
+	for ; r.now < rampAt+r.set.ColdTime; r.now += step {
+		warm := r.set.ColdFrom + (1-r.set.ColdFrom)*float64(r.now-rampAt)/float64(r.set.ColdTime)
+		due += senders * step.Seconds() / first.Seconds() * warm / r.set.ColdFrom
+		for _, l := range lines {
+			if r.now >= l.claimed+r.coldGap(l) {
+				sent++
+				l.claimed = r.now
+			}
+		}
+		if over := float64(sent) - 1.1*due; over > 10 {
+			t.Fatalf("%v into the ramp %d calls were sent, the rates add up to %.0f", r.now-rampAt, sent, due)
+		}
+	}
+	if float64(sent) < 0.9*due {
+		t.Errorf("%d calls were sent in the ramp, the rates add up to %.0f", sent, due)
+	}
+}
+
+// A line that is warm again goes on at the pace that its ramp had reached, and shortens its slot by what is taken: what waits for it does not
+// go all at once.
+func TestWarmLineGoesOnAtItsPace(t *testing.T) {
+	b := start(t, func(s *Settings) { s.Senders = 4 })
+	l := b.r.dests[4].lines[0]
+	l.state, l.rampAt, l.claimed, l.jitter = ramping, b.r.now, b.r.now, 1
+	b.r.now += b.r.set.ColdTime + time.Millisecond
+	pace := b.r.coldGap(l)
+	b.r.success(l, l.eps[0], 100*time.Millisecond)
+	b.r.stateOf(l)
+	if l.state != healthy || l.gap < pace || pace == 0 {
+		t.Fatalf("state %v, slot %v behind a ramp with %v", l.state, l.gap, pace)
+	}
+	for range 100 {
+		b.r.success(l, l.eps[0], 100*time.Millisecond)
+	}
+	if l.gap != 0 {
+		t.Errorf("the slot is %v behind a hundred successes", l.gap)
+	}
+}
+
+// A call that was given up before its line's usual latency tells nothing of the line: its message was nearly out of time. One that had
+// that long tells of it.
+func TestEarlyTimeOutTellsNothingOfTheLine(t *testing.T) {
+	for _, c := range []struct {
+		took time.Duration
+		runs int
+	}{{60 * time.Millisecond, 0}, {99 * time.Millisecond, 0}, {100 * time.Millisecond, 5}, {time.Second, 5}} {
+		b := start(t, nil)
+		l := b.r.dests[4].lines[0]
+		l.latency, l.recent, l.lastOK = 100*time.Millisecond, 100*time.Millisecond, b.r.now
+		for range 5 {
+			b.r.now += time.Second
+			out := &call{ep: l.eps[0], sentAt: b.r.now}
+			b.r.now += c.took
+			b.r.failed(l, out, TimedOut)
+		}
+		if l.hardRun != c.runs || (l.gap > 0) != (c.runs > 0) {
+			t.Errorf("time-outs after %v: %d in a row, slot %v", c.took, l.hardRun, l.gap)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -215,6 +215,15 @@
 	l.swallows = l.swallows || o != ConnectFailed && o != CutShort
 }
 
+// meanRamp is for how long the line had ramped, in the mean of all moments since its last call; before its ramp that counts as nought.
+func (l *line) meanRamp(now Time) float64 {
+	ramped, before := float64(now-l.rampAt), float64(max(0, l.claimed-l.rampAt))
+	if now <= l.claimed {
+		return ramped
+	}
+	return (ramped*ramped - before*before) / 2 / float64(now-l.claimed)
+}
+
 func (l *line) slow() bool { return l.recent > slowLatencies*l.latency }
 
 // warm tells whether ep seems to have an open connection.
