Let charges try a line that takes no connection once nobody did for a while

Where other messages come for a line, charges need not spend their attempts on it: they go when nobody has tried it for the time of an overload (20 s where a call may have run).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,7 @@
 	paceSpans      = 4                     // such spans over which the pace of all calls is averaged
 	rateMemory     = 20 * time.Second      // over which a relay averages its own traffic and shortage
 	unusedCost     = 0.01                  // of a call to an endpoint without connections, in calls out
-	coldNews       = 1.3                   // times what the news allow a cold line, as far as it is warm
+	coldNews       = 1.6                   // times what the news allow a cold line, as far as it is warm
 	newsLife       = 4 * time.Second       // for how long the fleet's news are good for
 	newsSpan       = 6 * time.Second / 5   // over which they look back: a cut shows after it
 	newsCalls      = 6                     // calls that tell something
@@ -418,13 +418,8 @@
 }
 
 func (r *Relay) even(l *line) float64 {
-	if l.rate > 0 {
-		return l.rate / float64(r.set.Senders)
-	}
-	if l.ownRate > 0 {
-		return l.ownRate
-	}
-	return 1 / (defaultSpacing.Seconds() * float64(r.set.Senders))
+	senders := float64(r.set.Senders)
+	return cmp.Or(l.rate/senders, l.ownRate, 1/(defaultSpacing.Seconds()*senders))
 }
 
 // turnGap is a slot in which a message can still use a few attempts within its aim. Risk: with hundreds of
@@ -878,11 +873,16 @@
 	r.spare = r.spare[:0]
 }
 
-// suits keeps unsafe messages from being the trickle into a line that may swallow them, as a failed call may
-// have run. Risk: where no others come for it, nobody finds out that it is back; after a while one goes.
+// suits keeps unsafe messages from being the trickle into a line that may swallow them. Risk: where no others
+// come for it, nobody finds out that it is back; after a while without any call one of them goes, soon where
+// none of the calls that failed may have run.
 func (r *Relay) suits(m *message, l *line) bool {
-	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || !l.swallows ||
-		r.now-l.claimed > rateMemory
+	untried := r.set.OverloadTime
+	if l.swallows {
+		untried = rateMemory
+	}
+	return m.class.Effect != Unsafe || l.state != out && !r.doubt(l) || l.hardRun == 0 ||
+		r.now-l.claimed > untried
 }
 
 // cap is the line's in-flight share: three quarters of the slots, half while it fails or slows, a quarter
