--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -574,3 +574,24 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// A call that was cut short never ran: the journal says so, and a restart may try its message again. One that broke behind its last byte may
+// have run.
+func TestCutShortProvesThatNothingRan(t *testing.T) {
+	for outcome, ran := range map[policy.Outcome]bool{policy.CutShort: false, policy.ConnectFailed: false, policy.Broken: true, policy.TimedOut: true} {
+		h := bare(t)
+		m := h.message("m", 7, 1)
+		calls := h.send(0, time.Now(), policy.Send{ID: m.Num, Endpoint: "s-1", Timeout: time.Second}, map[string]*call{}, nil)
+		if len(calls) != 1 || m.Out == nil {
+			t.Fatalf("%d calls, %+v", len(calls), m.Out)
+		}
+		h.pending = nil
+		h.callEnded(callEnded{call: calls[0], ends: alike(calls[0], end{outcome: outcome})})
+		if m.Out != nil || m.RiskAt.IsZero() == ran {
+			t.Errorf("outcome %v: out %v, at risk since %v", outcome, m.Out, m.RiskAt)
+		}
+		if len(h.pending) != 1 || h.pending[0].(policy.Ended).Outcome != outcome {
+			t.Errorf("outcome %v: the module is told %v", outcome, h.pending)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,7 @@
 	paceSpans      = 4                     // such spans over which the pace of all calls is averaged
 	rateMemory     = 20 * time.Second      // over which a relay averages its own traffic and shortage
 	unusedCost     = 0.01                  // of a call to an endpoint without connections, in calls out
-	coldNews       = 1.6                   // times what the news allow a cold line, as far as it is warm
+	coldNews       = 1.3                   // times what the news allow a cold line, as far as it is warm
 	newsLife       = 4 * time.Second       // for how long the fleet's news are good for
 	newsSpan       = 6 * time.Second / 5   // over which they look back: a cut shows after it
 	newsCalls      = 6                     // calls that tell something
