--- a/policy/policy.go
+++ b/policy/policy.go
@@ -928,7 +928,7 @@
 	return !others && r.now >= r.freeAt(l) && len(l.calls) < r.cap(l) && !r.crowdedOut(l)
 }
 
-// choose picks the endpoint for m, or none if no slot of its destination is free.
+// choose picks m's endpoint, or none if no slot is free. Scarce calls go to none that is nearly out of time.
 func (r *Relay) choose(m *message) *endpoint {
 	if m.dest.calls >= max(1, r.set.Slots*3/4) {
 		return nil
@@ -936,7 +936,7 @@
 	var best *endpoint
 	var bestCost float64
 	for _, l := range m.dest.lines {
-		if !r.free(l) || !r.suits(m, l) {
+		if !r.free(l) || !r.suits(m, l) || l.gap > 0 && m.deadline-r.now < l.latency {
 			continue
 		}
 		for _, ep := range l.eps {
--- a/policy/ramp_test.go
+++ b/policy/ramp_test.go
@@ -82,3 +82,21 @@
 		}
 	}
 }
+
+// Where calls are scarce, none goes to a message that has less time left than an answer usually takes: the next one goes. Where they are not,
+// it is tried.
+func TestScarceCallsGoToMessagesWithTime(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		b := start(t, nil)
+		l := b.r.dests[4].lines[0]
+		l.latency, l.recent = 200*time.Millisecond, 200*time.Millisecond
+		short := b.msg("safe", 4, "")
+		short.Left = 150 * time.Millisecond
+		if limited {
+			l.gap, l.claimed, l.jitter = 300*time.Millisecond, b.r.now-time.Second, 1
+			b.sent(b.step(short, b.msg("safe", 4, "")), 2)
+		} else {
+			b.sent(b.step(short), 1)
+		}
+	}
+}
