--- a/policy/policy.go
+++ b/policy/policy.go
@@ -639,7 +639,7 @@
 	case l.state == ramping && (l.hardRun >= outageRun || l.hardRun > 0 && l.bad > outageShare):
 		r.become(l, out)
 	case l.state == ramping && r.now-l.rampAt > r.set.ColdTime:
-		l.bad, l.gap = 0, max(l.gap, r.coldGap(l)) // not all that waits at once
+		l.bad = 0
 		r.become(l, healthy)
 		r.note("destination %d: warm again", l.dest.id)
 	}
