Show that a short keyed window hides no destination that hangs

On the last look the rule on early time-outs (Relay.failed) was taken for one that a keyed window of 1 s could misuse: a call cut at 0.6 s of a destination that takes 0.9 s would tell nothing. It can't: Relay.timeout gives such a call its message's whole time. The test passes on the rule as it stands, and its first case fails without the rule.

--- a/policy/ramp_test.go
+++ b/policy/ramp_test.go
@@ -62,6 +62,38 @@
 	}
 }
 
+// A time-out of a message that had less time left than its line's usual latency tells nothing of the line. One that a keyed window could cut as short
+// might hide a slow destination that hangs: it tells of it, since such a call is given its message's whole time (Relay.timeout).
+func TestTimeOutForWantOfTimeTellsNothingOfTheLine(t *testing.T) {
+	const usual = 900 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		class string
+		left  time.Duration
+		runs  int
+	}{{"nearly out of time", "safe", 800 * time.Millisecond, 0}, {"with time", "safe", 0, 1}, {"cut by its window", "keyed", 0, 1}} {
+		b := start(t, func(s *Settings) {
+			for i := range s.Classes {
+				if s.Classes[i].Effect == Keyed {
+					s.Classes[i].Window = time.Second
+				}
+			}
+		})
+		l := b.r.dests[4].lines[0]
+		l.latency, l.recent = usual, usual
+		m := b.msg(c.class, 4, "")
+		if c.left > 0 {
+			m.Left = c.left
+		}
+		acts := b.step(m)
+		b.sent(acts, 1)
+		b.after(min(acts[0].(Send).Timeout, 20*time.Second), end(1, 0, TimedOut))
+		if l.hardRun != c.runs {
+			t.Errorf("%s: %d failures in a row, want %d", c.name, l.hardRun, c.runs)
+		}
+	}
+}
+
 // Where calls are scarce, none goes to a message that has less time left than an answer usually takes: the next one goes. Where they are not,
 // it is tried.
 func TestScarceCallsGoToMessagesWithTime(t *testing.T) {
