Log bytes of a client that are read away behind the end of its connection

So that a log answers whether a request without an answer was read: connection, the state in which its end was decided, and how many bytes. Measured: the failing test prints the line for the resting and the new connection, 150 bytes each, the whole request.

--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -425,7 +425,9 @@
 	}
 	f.ended(c, endSaid)
 	c.sock.SetReadDeadline(time.Now().Add(linger))
-	io.CopyN(io.Discard, r, lingerBytes)
+	if n, _ := io.CopyN(io.Discard, r, lingerBytes); n > 0 {
+		f.log.Warn("bytes of a client read away behind the end of its connection", "connection", c.no, "state", was, "bytes", n)
+	}
 }
 
 func (f *Front) ended(c *frontConn, s endStage) {
