Leave unread what crosses the end of a client's connection, and answer what was read

Cause: a client's connection that ended read away what came behind the decision, a whole request among it, and closed without an answer; a request that came in one packet with the one before it was read with that and dropped. What was read can't be handed in again safely, so it was lost. Change: the reason of each end is a type. A resting or silent connection is closed at once, and one whose answer said 'close' once its client had time to read that, both without reading: what crosses is reset, which tells that nobody read it. Nothing is read from 3.2 s of a stop on, so that no request is read as the process ends; half a request gets its 408. A stop looks whether anything is accepted before it counts connections, an upgrade too. Check changed: TestRequestCrossesTheEndOfARestingConnection asked for the fault (the request read away, a plain end). It now counts the bytes read and wants none behind the decision, and a reset.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -14,6 +14,7 @@
 const (
 	riskOn   = 2500 * time.Millisecond // then no route step begins whose end is needed: it may not be repeated
 	stepOn   = 3100 * time.Millisecond // then none begins at all
+	readOn   = 3200 * time.Millisecond // then no request of a client is read any more
 	leaveBy  = 3450 * time.Millisecond // what is out by then may have run
 	lookTurn = 20 * time.Millisecond
 )
@@ -50,10 +51,11 @@
 	front.Turn(drain.Stop)
 	host.Leaving(true)
 	time.Sleep(drain.ServeOn)
-	leaving, quiet := false, false
+	leaving, quiet, read := false, false, false
 	for time.Since(began) < leaveBy {
 		held, out := host.Load()
-		if out == 0 && front.Busy() == 0 && !front.Accepting() && (held == 0 || quiet) {
+		// Guards against a connection that is accepted between two looks: once nothing is accepted, none is added.
+		if accepting := front.Accepting(); !accepting && front.Busy() == 0 && out == 0 && (held == 0 || quiet) {
 			break
 		}
 		if !leaving && time.Since(began) >= riskOn {
@@ -64,6 +66,10 @@
 			host.Quiet()
 			quiet = true
 		}
+		if !read && time.Since(began) >= readOn {
+			front.EndReads()
+			read = true
+		}
 		time.Sleep(lookTurn)
 	}
 	held, out := host.Load()
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -185,12 +185,18 @@
 		r.log.Error("the baton is not given up before this process ends", "err", err)
 	}
 	front.Turn(drain.HandOver)
-	facts := handover.Facts{Accepting: true}
+	facts, letGo, read := handover.Facts{}, false, false
 	for {
 		if len(r.folder.Given()) < givenMost {
 			r.host.Give(handover.Part(r.free()))
 		}
+		// In this order: once nothing is accepted, no connection is added.
+		facts.Accepting = front.Accepting()
 		facts.Since, facts.Clients = time.Since(began), front.Busy()
+		if !read && facts.Since >= readOn {
+			front.EndReads()
+			read = true
+		}
 		facts.Held, facts.Out, facts.StaysBehind = r.host.Left()
 		facts.Taken = facts.Taken || slices.ContainsFunc(held, func(name string) bool { return r.folder.Said(name) == rooms.Serving })
 		switch handover.Next(facts) {
@@ -198,8 +204,10 @@
 			r.log.Info("handed over", "left_in_room", facts.Held, "calls_out", facts.Out)
 			return true
 		case handover.LetGo:
-			facts.Accepting = false
-			front.LetGo()
+			if !letGo {
+				front.LetGo()
+			}
+			letGo = true
 		}
 		time.Sleep(leaveTurn)
 	}
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -9,10 +9,10 @@
 	"net"
 	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"oatfold/internal/admission"
@@ -35,7 +35,6 @@
 	writeLimit  = 600 * time.Millisecond  // for an answer
 	crossLimit  = 30 * time.Millisecond   // for a request that crosses the end of a connection
 	lingerLimit = 200 * time.Millisecond  // for a client to read its last answer and close
-	lingerIdle  = 50 * time.Millisecond   // the same, where it is owed none
 	lingerBytes = 256 << 10
 	emptyMost   = 250 * time.Millisecond // for the accept queue, from when the listener is to close
 	maxID       = 256                    // bytes of an id or key
@@ -43,18 +42,19 @@
 
 // Front is the front socket: clients hand in messages here.
 type Front struct {
-	ln       net.Listener
-	events   chan<- any
-	classes  atomic.Pointer[map[string]policy.Class]
-	tenants  atomic.Pointer[map[string]bool] // by name; empty: the settings name none
-	log      *slog.Logger
-	advice   atomic.Int64 // nanoseconds: when refused clients are to come again; 0: none is told
-	plugins  *plugin.Holder
-	view     atomic.Pointer[drain.View]
-	figures  *figures.Set
-	emptying atomic.Bool   // the accept queue is emptied, then the listener closed
-	emptyTil atomic.Int64  // at this time at the latest
-	free     chan struct{} // told when a connection ends or may give way
+	ln        net.Listener
+	events    chan<- any
+	classes   atomic.Pointer[map[string]policy.Class]
+	tenants   atomic.Pointer[map[string]bool] // by name; empty: the settings name none
+	log       *slog.Logger
+	advice    atomic.Int64 // nanoseconds: when refused clients are to come again; 0: none is told
+	plugins   *plugin.Holder
+	view      atomic.Pointer[drain.View]
+	figures   *figures.Set
+	emptying  atomic.Bool   // the accept queue is emptied, then the listener closed
+	readsOver atomic.Bool   // nothing is read any more: the process is about to end
+	emptyTil  atomic.Int64  // at this time at the latest
+	free      chan struct{} // told when a connection ends or may give way
 
 	mu       sync.Mutex
 	drain    drain.Machine
@@ -79,9 +79,25 @@
 	frontNew    frontState = iota // nothing has come yet: a first request on it would fail with a close
 	frontIdle                     // between requests: may be closed
 	frontBusy                     // a request has begun: it gets an answer
-	frontEnding                   // its end is decided: what still comes is read away, and never taken on
+	frontEnding                   // its end is decided: no request is read any more
 )
 
+// closeReason says why a client's connection ends, and so what becomes of the bytes that still come on it.
+type closeReason int
+
+const (
+	staysOpen      closeReason = iota // it does not end
+	closedByClient                    // it closed or reset: there is nobody to tell
+	closedResting                     // rested or said nothing for its time, evicted, drained: what comes is left unread
+	closedByUs                        // our last answer said so: what comes is left unread
+	closedAsAsked                     // the client's last request said so: what comes is no request, and is read away
+	closedBad                         // what came is no request: the rest of it is read away
+)
+
+var closeReasons = [...]string{"none", "client", "resting", "told to close", "as asked", "bad request"}
+
+func (r closeReason) String() string { return closeReasons[r] }
+
 // endStage is a moment in the end of a client's connection, for tests that force what crosses it.
 type endStage int
 
@@ -194,7 +210,7 @@
 		if f.view.Load().Idle {
 			limit = min(limit, drain.SilentFor)
 		}
-		sock.SetReadDeadline(c.since.Add(limit))
+		f.readUntil(c, c.since.Add(limit))
 		f.mu.Unlock()
 		go f.serve(c)
 	}
@@ -334,22 +350,43 @@
 	f.mu.Unlock()
 }
 
-// begin books that a request has begun.
-func (f *Front) begin(c *frontConn) {
+// begin books that a request has begun, which has to be read by then.
+func (f *Front) begin(c *frontConn, readBy time.Time) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.keep.Came(c.state == frontNew, time.Since(f.began))
 	f.enter(c, frontBusy)
-	f.mu.Unlock()
+	f.readUntil(c, readBy)
 }
 
-// rest books that c is between requests, and returns when it is closed.
-func (f *Front) rest(c *frontConn) time.Time {
+// rest books that c is between requests, for as long as it may stay so.
+func (f *Front) rest(c *frontConn) {
 	f.mu.Lock()
 	f.enter(c, frontIdle)
-	until := c.since.Add(f.keep.For(f.idle, f.most))
+	f.readUntil(c, c.since.Add(f.keep.For(f.idle, f.most)))
 	f.mu.Unlock()
 	f.tell()
-	return until
+}
+
+// readUntil sets until when c is read, unless the end of all reads has come. It is called with mu held.
+func (f *Front) readUntil(c *frontConn, until time.Time) {
+	if f.readsOver.Load() {
+		until = time.Unix(1, 0)
+	}
+	c.sock.SetReadDeadline(until)
+}
+
+// EndReads has nothing read any more: half a request is answered so, and what was not read is left to be reset. Guards against a request
+// that is read as the process ends, and never answered. It comes behind Drain.
+func (f *Front) EndReads() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readsOver.Store(true)
+	for c := range f.conns {
+		if c.state != frontEnding { // that one reads no request, and its time is its client's to read the answer
+			c.sock.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
 }
 
 // enter is called with mu held.
@@ -384,25 +421,28 @@
 	}()
 	r, connected := bufio.NewReaderSize(c.sock, maxLine), c.since
 	for first := true; ; first = false {
-		if _, err := r.Peek(1); err != nil && !(errors.Is(err, os.ErrDeadlineExceeded) && Waiting(c.sock)) {
+		if _, err := r.Peek(1); err != nil && (f.readsOver.Load() || !errors.Is(err, os.ErrDeadlineExceeded) || !Waiting(c.sock)) {
+			reason := closedByClient
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				f.finish(c, r, lingerIdle)
+				reason = closedResting
 			}
-			return // closed by the client, or by us while idle: nothing was read
+			f.finish(c, r, reason)
+			return
 		}
 		// Guards against closing an idle connection on which a request has just come in: it is answered.
 		f.trace.note(c.no, traceFirst, time.Since(c.since).Microseconds(), 0)
-		f.begin(c)
 		now := time.Now()
 		readBy := now.Add(readLimit)
 		if first {
 			readBy = connected.Add(readLimit)
 		}
-		if c.sock.SetReadDeadline(readBy); !f.one(traced{c.sock, f, c.no, now}, r, now) {
-			f.finish(c, r, lingerLimit)
+		f.begin(c, readBy)
+		if reason := f.one(&exchange{Conn: c.sock, r: r, f: f, no: c.no, began: now}); reason != staysOpen {
+			f.finish(c, r, reason)
 			return
 		}
-		if c.sock.SetReadDeadline(f.rest(c)); f.view.Load().Idle {
+		f.rest(c)
+		if f.view.Load().Idle {
 			// Guards against a drain that looked at this connection while it was busy. Its last answer did not say that it closes: the next request
 			// may be on the way.
 			c.sock.SetReadDeadline(time.Now().Add(crossLimit))
@@ -410,24 +450,46 @@
 	}
 }
 
-// finish ends our side of c, and reads away what the client still sends until it has closed, within bounds. Guards against unread bytes,
-// over which a close is a reset: it would overtake the last answer. A client whose request crosses the end sees the
-// connection closed without an answer, and hands it in elsewhere.
-func (f *Front) finish(c *frontConn, r *bufio.Reader, linger time.Duration) {
+// finish ends our side of c. What has been read is owed an answer, so nothing that may be a request is read from here on: a client
+// whose request crosses the end finds it reset, which tells that nobody read it, and hands it in elsewhere. A reset could overtake the
+// last answer, so the connection is closed only once the client has had time to read that and close.
+func (f *Front) finish(c *frontConn, r *bufio.Reader, reason closeReason) {
 	f.mu.Lock()
 	was := c.state
 	f.enter(c, frontEnding)
 	c.last = was
 	f.mu.Unlock()
 	f.ended(c, endDecided)
+	f.log.Debug("client's connection ends", "connection", c.no, "reason", reason, "buffered", r.Buffered())
+	if reason == closedByClient || reason == closedResting {
+		return // the last answer was read, or there was none
+	}
 	if t, ok := c.sock.(interface{ CloseWrite() error }); !ok || t.CloseWrite() != nil {
 		return
 	}
 	f.ended(c, endSaid)
-	c.sock.SetReadDeadline(time.Now().Add(linger))
-	if n, _ := io.CopyN(io.Discard, r, lingerBytes); n > 0 {
-		f.log.Warn("bytes of a client read away behind the end of its connection", "connection", c.no, "state", was, "bytes", n)
+	c.sock.SetReadDeadline(time.Now().Add(lingerLimit))
+	if reason == closedByUs {
+		awaitClose(c.sock)
+		return
 	}
+	io.CopyN(io.Discard, r, lingerBytes)
+}
+
+// awaitClose waits until the other side has closed, without reading what it sends, or until the read deadline.
+func awaitClose(sock net.Conn) {
+	sc, ok := sock.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Read(func(fd uintptr) bool {
+		n, err := peekAt(int(fd))
+		return n == 0 && err != syscall.EAGAIN // bytes say nothing of a close: they wait until the deadline
+	})
 }
 
 func (f *Front) ended(c *frontConn, s endStage) {
@@ -436,46 +498,46 @@
 	}
 }
 
-// one reads and answers one request; it tells whether the connection goes on.
-func (f *Front) one(sock net.Conn, r *bufio.Reader, began time.Time) bool {
-	h, err := readHead(r)
+// one reads and answers one request; it tells whether the connection ends with it, and why.
+func (f *Front) one(x *exchange) closeReason {
+	h, err := readHead(x.r)
 	if err != nil {
-		return f.bad(sock, err)
+		return f.bad(x, err)
 	}
 	method, target, version := h.line[0], h.line[1], h.line[2]
 	if version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return f.bad(sock, errLine)
+		return f.bad(x, errLine)
 	}
 	length, chunked, err := h.framing()
 	if err != nil {
-		return f.bad(sock, err)
+		return f.bad(x, err)
 	}
 	if strings.EqualFold(h.get("Expect"), "100-continue") {
-		sock.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		x.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	body, err := readBody(r, length, chunked, maxBody)
+	body, err := readBody(x.r, length, chunked, maxBody)
 	if err != nil {
-		return f.bad(sock, err)
+		return f.bad(x, err)
 	}
-	keep := !h.closes(version)
+	x.last = h.closes(version)
 	path, query, _ := strings.Cut(target, "?")
 	switch {
 	case method == "GET" && path == "/ready":
 		if f.view.Load().Ready {
-			return f.reply(sock, 200, 0, keep, nil) == nil && keep
+			return x.reply(200, 0, nil)
 		}
-		return f.reply(sock, 503, 0, keep, nil) == nil && keep
+		return x.reply(503, 0, nil)
 	case method != "POST":
-		return f.reply(sock, 405, 0, keep, nil) == nil && keep
+		return x.reply(405, 0, nil)
 	}
 	m, left, err := f.message(h, path, query, body)
 	if err != nil {
 		f.log.Debug("request refused", "err", err)
-		return f.reply(sock, 400, 0, keep, err) == nil && keep
+		return x.reply(400, 0, err)
 	}
 	if a := f.ask(m, left); a.Verdict == abi.Reject {
 		f.figures.Ended(m.Class, figures.Failed)
-		return f.reply(sock, 422, 0, keep, errors.New(a.Reason)) == nil && keep
+		return x.reply(422, 0, errors.New(a.Reason))
 	} else if a.Verdict == abi.Refuse {
 		advice := time.Duration(f.advice.Load())
 		if a.Wait > 0 {
@@ -483,9 +545,9 @@
 		}
 		f.figures.Ended(m.Class, figures.TurnedAway)
 		// Not 503: that says that the relay is full, and would keep its client from handing in anything else.
-		return f.reply(sock, 429, advice, keep, nil) == nil && keep
+		return x.reply(429, advice, nil)
 	}
-	return f.take(sock, m, began.Add(left), keep)
+	return f.take(x, m, x.began.Add(left))
 }
 
 // ask asks plug-ins about a message that comes in, on its connection's goroutine.
@@ -501,14 +563,14 @@
 }
 
 // take has the host take m on, answers the client and tells the host that it may begin.
-func (f *Front) take(sock net.Conn, m *memory.Message, until time.Time, keep bool) bool {
+func (f *Front) take(x *exchange, m *memory.Message, until time.Time) closeReason {
 	m.Deadline = until
 	reply := make(chan verdict, 1)
 	f.events <- handIn{m, reply}
 	v := <-reply
 	if v.nowhere {
 		f.figures.Ended(m.Class, figures.Failed)
-		return f.reply(sock, 400, 0, keep, fieldError("dest in Envelope: no such destination")) == nil && keep
+		return x.reply(400, 0, fieldError("dest in Envelope: no such destination"))
 	}
 	if !v.taken {
 		status := 503
@@ -517,11 +579,11 @@
 		} else {
 			f.figures.Ended(m.Class, figures.TurnedAway)
 		}
-		return f.reply(sock, status, v.retry, keep, nil) == nil && keep
+		return x.reply(status, v.retry, nil)
 	}
-	err := f.reply(sock, 202, 0, keep, nil)
-	f.events <- handedIn{m.Num, err == nil || err == errSaidClose}
-	return err == nil && keep
+	reason := x.reply(202, 0, nil)
+	f.events <- handedIn{m.Num, reason != closedByClient}
+	return reason
 }
 
 // fieldError names what a hand-in lacks or has in a form that can't be read.
@@ -607,77 +669,3 @@
 	}
 	return true
 }
-
-// bad ends a connection on which the request could not be read; where the client still listens, it is told.
-func (f *Front) bad(sock net.Conn, err error) bool {
-	status := 0
-	switch {
-	case errors.Is(err, errLine), errors.Is(err, errHeader), errors.Is(err, errLength), errors.Is(err, io.ErrUnexpectedEOF):
-		status = 400 // the last is half a request of a client that may still listen
-	case errors.Is(err, errTooLong):
-		status = 413
-	case errors.Is(err, errHead):
-		status = 431
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		status = 408
-	}
-	if status != 0 {
-		f.reply(sock, status, 0, false, err)
-	}
-	return false
-}
-
-var reasons = map[int]string{200: "OK", 202: "Accepted", 400: "Bad Request", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 422: "Unprocessable Content", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 503: "Service Unavailable"}
-
-// errSaidClose tells that an answer got through and said that its connection closes, because of a drain.
-var errSaidClose = errors.New("told to close")
-
-// reply answers with a status, advice when to come again if there is any, and for a bad request what was wrong.
-func (f *Front) reply(sock net.Conn, status int, retry time.Duration, keep bool, wrong error) error {
-	b := make([]byte, 0, 128)
-	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10), ' ')
-	b = append(append(b, reasons[status]...), "\r\n"...)
-	if retry > 0 {
-		b = appendField(b, "Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
-	}
-	view := f.view.Load()
-	if !keep || view.Close {
-		b = appendField(b, "Connection", "close")
-	}
-	if view.Stopping {
-		b = append(b, "X-Relay-State: stopping\r\n"...) // Guards against new requests on a connection that is closed soon
-	}
-	text := ""
-	if wrong != nil {
-		text = wrong.Error() + "\n"
-	}
-	sock.SetWriteDeadline(time.Now().Add(writeLimit))
-	if _, err := sock.Write(append(appendLength(b, len(text)), text...)); err != nil {
-		return err
-	}
-	if keep && view.Close {
-		return errSaidClose
-	}
-	return nil
-}
-
-// traced is a client's connection that notes its answers.
-type traced struct {
-	net.Conn
-	f     *Front
-	no    uint32
-	began time.Time
-}
-
-func (t traced) Write(b []byte) (int, error) {
-	n, err := t.Conn.Write(b)
-	if len(b) > 12 {
-		status, _ := strconv.Atoi(string(b[9:12]))
-		if err != nil {
-			status = -status // it did not get through
-		}
-		t.f.trace.note(t.no, traceAnswer, int64(status), time.Since(t.began).Microseconds())
-	}
-	return n, err
-}
--- a/internal/wire/front_end_test.go
+++ b/internal/wire/front_end_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,11 +22,13 @@
 type heldListener struct {
 	*net.TCPListener
 	accept, read chan struct{} // nil: nobody waits
+	got          atomic.Int64  // bytes read, of all connections
 }
 
 type heldConn struct {
 	*net.TCPConn
 	read chan struct{}
+	got  *atomic.Int64
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -36,14 +39,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &heldConn{sock.(*net.TCPConn), l.read}, nil
+	return &heldConn{sock.(*net.TCPConn), l.read, &l.got}, nil
 }
 
 func (c *heldConn) Read(b []byte) (int, error) {
 	if c.read != nil {
 		<-c.read
 	}
-	return c.TCPConn.Read(b)
+	n, err := c.TCPConn.Read(b)
+	c.got.Add(int64(n))
+	return n, err
 }
 
 // ending is a front socket whose connections end in steps that the test takes.
@@ -143,10 +148,10 @@
 	}
 }
 
-// A request that crosses the end of a resting connection: read before the decision it is answered; after it, it is not taken on, and its
-// client sees a plain end, never a reset.
+// A request that crosses the end of a resting connection: there before the decision it is answered; behind it, none of its bytes is
+// read, and the connection is reset over them, which tells its client that nobody has.
 func TestRequestCrossesTheEndOfARestingConnection(t *testing.T) {
-	for _, when := range []string{"before", "decided", "said"} {
+	for _, when := range []string{"before", "decided", "closed"} {
 		for _, bytes := range []string{"whole", "half", "one"} {
 			t.Run(when+" "+bytes, func(t *testing.T) {
 				read := make(chan struct{})
@@ -162,19 +167,15 @@
 					fmt.Fprint(sock, req)
 				}
 				e.mu.Lock()
+				var conn net.Conn
 				for c := range e.conns { // as a drain, an eviction and the idle limit do
+					conn = c.sock
 					c.sock.SetReadDeadline(time.Unix(1, 0))
 				}
 				e.mu.Unlock()
+				there := func() bool { return Waiting(conn) }
 				if when == "before" {
-					waitFor(t, "the bytes to be there", func() bool {
-						e.mu.Lock()
-						defer e.mu.Unlock()
-						for c := range e.conns {
-							return Waiting(c.sock)
-						}
-						return false
-					})
+					waitFor(t, "the bytes to be there", there)
 					close(read)
 					if bytes != "whole" {
 						fmt.Fprint(sock, ready[len(req):]) // it has begun: it may be finished
@@ -192,22 +193,91 @@
 				e.step(t, endDecided)
 				if when == "decided" {
 					fmt.Fprint(sock, req)
+					waitFor(t, "the bytes to be there", there)
 				}
 				e.goOn <- struct{}{}
-				e.step(t, endSaid)
-				if when == "said" {
+				e.step(t, endClosed)
+				if when == "closed" {
 					fmt.Fprint(sock, req)
 				}
-				closedClean(t, r)
-				e.goOn <- struct{}{}
-				sock.Close()
-				e.step(t, endClosed)
+				rest, err := io.ReadAll(r)
+				if len(rest) > 0 || when == "decided" && !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("%q is left, then %v: want a reset over what was not read", rest, err)
+				}
+				if got := e.ln.got.Load(); got != int64(len(ready)) {
+					t.Errorf("%d bytes were read, want the %d of the first request alone", got, len(ready))
+				}
 				e.goOn <- struct{}{}
 			})
 		}
 	}
 }
 
+// A request that comes in one packet with the one before it was read with it: it is answered too, although the connection is about to
+// end; behind the last one it ends, and what comes then is not read.
+func TestWhatIsReadIsAnsweredBeforeTheEnd(t *testing.T) {
+	for _, half := range []bool{false, true} {
+		e := startEnding(t, &heldListener{})
+		sock, r := e.dial(t)
+		e.Turn(drain.Fail) // from here on each answer closes its connection
+		sent := ready + ready
+		if half {
+			sent += ready[:10]
+		}
+		fmt.Fprint(sock, sent)
+		answered(t, r, 503) // not ready any more
+		answered(t, r, 503)
+		if half {
+			fmt.Fprint(sock, ready[10:])
+			answered(t, r, 503)
+		}
+		e.step(t, endDecided)
+		got := e.ln.got.Load()
+		fmt.Fprint(sock, ready)
+		e.goOn <- struct{}{}
+		e.step(t, endSaid)
+		closedClean(t, r)
+		sock.Close()
+		e.goOn <- struct{}{}
+		e.step(t, endClosed)
+		if e.ln.got.Load() != got {
+			t.Errorf("%d bytes were read behind the last answer", e.ln.got.Load()-got)
+		}
+		e.goOn <- struct{}{}
+		e.ln.Close()
+	}
+}
+
+// Once reads have ended, half a request is answered so, one that is with the host gets its answer, and one that comes later is read
+// and answered or not read at all.
+func TestNothingIsReadBehindTheEndOfReads(t *testing.T) {
+	e := startEnding(t, &heldListener{})
+	e.ends = nil
+	defer e.ln.Close()
+	half, halfR := e.dial(t)
+	fmt.Fprint(half, ready[:10])
+	waitFor(t, "half a request", func() bool { return e.ln.got.Load() == 10 })
+	host, hostR := e.dial(t)
+	request := hand("alert", "m", "", "body", 1000)
+	fmt.Fprint(host, request)
+	in := (<-e.events).(handIn)
+	late, lateR := e.dial(t)
+	waitFor(t, "the third connection", func() bool { return e.Busy() == 3 })
+	e.EndReads()
+	fmt.Fprint(late, ready)
+	answered(t, halfR, 408)
+	in.reply <- verdict{taken: true}
+	answered(t, hostR, 202)
+	// A read that had begun may still take it, and then it is answered.
+	want := 10 + len(request)
+	if rest, _ := io.ReadAll(lateR); len(rest) > 0 {
+		want += len(ready)
+	}
+	if got := e.ln.got.Load(); got != int64(want) {
+		t.Errorf("%d bytes were read, want the %d of what was answered", got, want)
+	}
+}
+
 // A connection that waits to be accepted as the listener is to close, with its request on it, is answered.
 func TestListenerClosesBehindWhoWaits(t *testing.T) {
 	accept := make(chan struct{})
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -656,34 +655,3 @@
 	b = appendLength(appendField(b, "X-Time-Left-Ms", left), len(body))
 	return append(b, body...)
 }
-
-// stale tells, without waiting, whether an idle connection was closed by the peer or holds bytes that
-// nobody asked for.
-func stale(sock net.Conn) bool {
-	_, err := peek(sock)
-	return err != syscall.EAGAIN
-}
-
-// Waiting tells, without waiting, whether bytes of the peer are there to be read.
-func Waiting(sock net.Conn) bool {
-	n, err := peek(sock)
-	return err == nil && n > 0
-}
-
-func peek(sock net.Conn) (n int, err error) {
-	sc, ok := sock.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if e := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}); e != nil {
-		return 0, e
-	}
-	return n, err
-}
