Reproduce notices that never reach an agent which takes 250 ms for them

A failing test on real processes: an agent that takes 250 ms and lets go of what its client has left never takes the notice.

--- a/cmd/oatfold/main_test.go
+++ b/cmd/oatfold/main_test.go
@@ -40,9 +40,10 @@
 	calls    map[string]int    // by message
 	keys     map[string]string // idempotency keys seen
 	notices  []string
-	asked    int       // whole lists
-	watched  int       // changes
-	log      io.Writer // of the relay; nil: the test's
+	slow     time.Duration // that the agent takes for a notice, which it drops if its sender goes away meanwhile
+	asked    int           // whole lists
+	watched  int           // changes
+	log      io.Writer     // of the relay; nil: the test's
 }
 
 func newSite(t *testing.T) *site {
@@ -91,6 +92,11 @@
 	agent := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, _ := io.ReadAll(r.Body)
 		if r.Method == "POST" {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(s.slow):
+			}
 			s.Lock()
 			s.notices = append(s.notices, strings.Fields(string(b))...)
 			s.Unlock()
