Count told waits and deadlines as real time, however the wall clock is stepped

A step by an hour opened or held gates, and a restart gave up what it found or kept repeats past their window. Change: internal/clock. Gates and the accept queue's bound go by the monotonic clock. What outlives a process is dated on a scale that goes by the machine's monotonic clock: the state folder keeps one mark (file clock: boot, monotonic time, date) that all processes of a relay go on with; another boot or a clock that is behind begins anew with the wall clock, as before. Records, spool files and news keep their form; the spool's files are named on that scale, so that their order holds.

--- /dev/null
+++ b/internal/clock/mark_linux.go
@@ -0,0 +1,26 @@
+package clock
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const bootFile = "/proc/sys/kernel/random/boot_id"
+
+// Now reads both clocks of the machine: a mark, and the moment that it is of.
+func Now() (Mark, time.Time) {
+	boot, err := os.ReadFile(bootFile)
+	var mono unix.Timespec
+	if err == nil {
+		err = unix.ClockGettime(unix.CLOCK_MONOTONIC, &mono)
+	}
+	at := time.Now()
+	m := Mark{Date: at.UnixMicro()}
+	if err == nil {
+		m.Boot, m.Mono = strings.TrimSpace(string(boot)), mono.Nano()/1000
+	}
+	return m, at
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,8 +30,8 @@
 // journal only.
 const bodyShare = 8
 
-// smallFiles is what the state folder's files besides journals take: the baton, a lock for each room.
-const smallFiles = 2048
+// smallFiles is what the state folder's files besides journals take: the baton, the mark of the clock, a lock for each room.
+const smallFiles = 2560
 
 // ownFiles is what descriptors the process needs for itself: standard ones, journal, poll, listener, discovery.
 const ownFiles = 24
@@ -123,7 +123,7 @@
 	if !active {
 		budget = handover.Budget(r.disk(), 0, r.folder.Used(r.room))
 	}
-	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(r.room.Path), Budget: budget, Bodies: bodies, Log: log})
+	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(r.room.Path), Budget: budget, Bodies: bodies, Dates: r.folder.Dates(), Log: log})
 	if err != nil {
 		return fmt.Errorf("ROUTER_STATE: %w", err)
 	}
@@ -152,6 +152,7 @@
 	set.Zones, set.Home, set.Sites = c.Zones, r.home(), plan
 	set.Plugins, set.Figures = r.holder, r.count
 	set.Table, set.Journal, set.Log = table, kept, log
+	set.Dates = r.folder.Dates()
 	set.Standby = !active || r.shared()
 	if active {
 		if r.listenNotes(); r.notes != nil {
--- a/internal/daemon/inherit_test.go
+++ b/internal/daemon/inherit_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/rooms"
 	"oatfold/internal/memory"
@@ -220,7 +221,7 @@
 			c.leave(t, dir, "")
 			h := startSuccessor(t, dir)
 			news := handover.News{}
-			if err := h.folder.Give(journal.Give([]*memory.Message{charge(7, 0)}, news.Encode())); err != nil {
+			if err := h.folder.Give(journal.Give([]*memory.Message{charge(7, 0)}, news.Encode(), clock.Scale{})); err != nil {
 				t.Fatal(err)
 			}
 			h.take()
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -115,7 +115,7 @@
 		raw, err := h.folder.Read(name)
 		if err == nil {
 			var text []byte
-			if msgs, text, err = journal.Given(raw); err == nil {
+			if msgs, text, err = journal.Given(raw, h.folder.Dates()); err == nil {
 				news, err = handover.Decode(text)
 			}
 		}
@@ -143,7 +143,7 @@
 	if !messages {
 		return
 	}
-	if err := h.folder.Replace(name, journal.Give(nil, news.Encode())); err != nil {
+	if err := h.folder.Replace(name, journal.Give(nil, news.Encode(), h.folder.Dates())); err != nil {
 		h.log.Warn("news of the process before are not kept for another start", "file", name, "err", err)
 		h.done(name)
 		delete(h.latest, from)
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"testing"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/daemon/config"
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/rooms"
@@ -59,7 +60,7 @@
 	gives := func(owes string, msgs ...*memory.Message) {
 		t.Helper()
 		news := handover.News{Owes: []sequence.Message{{ID: owes, Subject: "s", Num: 1}}}
-		if err := old.Give(journal.Give(msgs, news.Encode())); err != nil {
+		if err := old.Give(journal.Give(msgs, news.Encode(), clock.Scale{})); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -70,7 +71,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			given, text, err := journal.Given(raw)
+			given, text, err := journal.Given(raw, clock.Scale{})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -16,12 +16,15 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"oatfold/internal/clock"
 )
 
 const (
 	batonName = "baton"
 	lockName  = "lock"
 	spoolName = "spool"
+	clockName = "clock"
 	lifePart  = "life-"
 	giveExt   = ".give"
 	tmpExt    = ".tmp"
@@ -40,6 +43,7 @@
 	baton *os.File
 	log   *slog.Logger
 	given int
+	dates clock.Scale
 }
 
 // Room is where one process writes its journal. The zero name is the state folder itself.
@@ -56,7 +60,46 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Folder{dir: dir, baton: f, log: log}, nil
+	folder := &Folder{dir: dir, baton: f, log: log}
+	folder.dates = folder.scale()
+	return folder, nil
+}
+
+// steppedBy is from which difference on the wall clock is said to have been stepped.
+const steppedBy = time.Second
+
+// Dates is the scale on which all processes of the relay date what they leave to others.
+func (f *Folder) Dates() clock.Scale { return f.dates }
+
+// scale goes on with the scale of the processes before, or begins one.
+func (f *Folder) scale() clock.Scale {
+	now, at := clock.Now()
+	raw, err := os.ReadFile(f.path(clockName))
+	kept, bad := clock.Decode(raw)
+	if err == nil && bad != nil {
+		f.log.Warn("what the state folder says of the clock can't be read: dates go by the wall clock", "err", bad)
+	}
+	dates, goesOn := clock.Continue(kept, now, at)
+	if goesOn {
+		if by := time.Duration(now.Date-dates.Date(at)) * time.Microsecond; by.Abs() >= steppedBy {
+			f.log.Warn("the wall clock was stepped, dates go on as before", "by", by)
+		}
+		return dates
+	}
+	if err := f.write(clockName, now.Encode()); err != nil {
+		f.log.Warn("the state folder keeps no mark of the clock: a step of the wall clock would move deadlines", "err", err)
+	}
+	return dates
+}
+
+// write puts a file of the folder in place, whole or not at all.
+func (f *Folder) write(name string, b []byte) error {
+	tmp := f.path(name) + tmpExt
+	if err := os.WriteFile(tmp, b, 0o600); err != nil {
+		os.Remove(tmp)
+		return err
+	}
+	return os.Rename(tmp, f.path(name))
 }
 
 // lock takes a file's lock, or tells that another process has it. Where the system knows no such locks, nobody else can have it:
@@ -303,7 +346,7 @@
 		return err
 	}
 	f.given++
-	name := filepath.Join(dir, fmt.Sprintf("%020d-%d-%06d", time.Now().UnixNano(), os.Getpid(), f.given))
+	name := filepath.Join(dir, fmt.Sprintf("%020d-%d-%06d", f.dates.Date(time.Now())*1000, os.Getpid(), f.given))
 	if err := os.WriteFile(name+tmpExt, b, 0o600); err != nil {
 		os.Remove(name + tmpExt)
 		return err
--- a/internal/handover/rooms/rooms_test.go
+++ b/internal/handover/rooms/rooms_test.go
@@ -6,6 +6,9 @@
 	"path/filepath"
 	"slices"
 	"testing"
+	"time"
+
+	"oatfold/internal/clock"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -126,3 +129,35 @@
 		t.Errorf("%v, left %v, %v", got, f.Given(), entries)
 	}
 }
+
+// The wall clock was an hour ahead, or behind, when the first process of a relay began, and was set right since: what that process dated is the
+// same moment to the next one. A mark that can't be read, or that the folder does not take, refuses no start.
+func TestDatesGoOnInTheNextProcess(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, 0, time.Hour} {
+		dir := t.TempDir()
+		mark, at := clock.Now()
+		mark.Date += step.Microseconds()
+		if err := os.WriteFile(filepath.Join(dir, "clock"), mark.Encode(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		date := clock.At(at, mark.Date).Date(at.Add(time.Minute)) // that the first one wrote
+		f, err := Open(dir, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if off := f.Dates().Time(date).Sub(at.Add(time.Minute)); off.Abs() > time.Second {
+			t.Errorf("stepped by %v: the date is off by %v", step, off)
+		}
+	}
+	dir := t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, "clock"), 0o700); err != nil { // neither read nor written
+		t.Fatal(err)
+	}
+	f, err := Open(dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if now := time.Now(); f.Dates().Time(now.UnixMicro()).Sub(now).Abs() > time.Minute {
+		t.Error("without a mark dates do not go by the wall clock")
+	}
+}
--- a/internal/memory/journal/clean.go
+++ b/internal/memory/journal/clean.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal/plan"
 )
@@ -172,7 +173,7 @@
 			nums(payload, func(n uint32) { taken[n] = struct{}{} })
 		}
 		if payload[0] == recOver {
-			f := &fields{memory.Fields{B: payload[1:]}}
+			f := read(payload, clock.Scale{})
 			num, ordinal, id := uint32(f.Uint()), f.Uint(), f.Text()
 			_, here := taken[num]
 			waits := w.allOver && !here
--- a/internal/memory/journal/given.go
+++ b/internal/memory/journal/given.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 )
 
@@ -15,14 +16,14 @@
 // ErrGiven says that a given file is not whole.
 var ErrGiven = errors.New("journal: given file is not whole")
 
-// Give writes messages as they stand, and news. Their bodies have to be in memory; one that was not kept is, from here on.
-func Give(msgs []*memory.Message, news []byte) []byte {
+// Give writes messages as they stand, dated on a scale that both processes have, and news. Their bodies have to be in memory; one that was not kept is, from here on.
+func Give(msgs []*memory.Message, news []byte, dates clock.Scale) []byte {
 	b := appendHead(nil, 0, 0, 0)
 	for _, m := range msgs {
 		kept := *m
 		kept.Unkept = false
 		at := len(b)
-		if b = frame(appendKept(append(begin(b), recKept), &kept), at); len(m.Notes) > 0 {
+		if b = frame(appendKept(append(begin(b), recKept), &kept, dates), at); len(m.Notes) > 0 {
 			at = len(b)
 			b = frame(appendText(head(begin(b), recNotes, m.Num), m.Notes), at)
 		}
@@ -35,8 +36,8 @@
 }
 
 // Given reads such a file. Numbers are those of the process that gave.
-func Given(raw []byte) (msgs []*memory.Message, news []byte, err error) {
-	s, whole := newState(), false
+func Given(raw []byte, dates clock.Scale) (msgs []*memory.Message, news []byte, err error) {
+	s, whole := newState(dates), false
 	end := walk(raw, func(_, _ int, payload []byte, bad error) {
 		switch {
 		case bad != nil:
@@ -62,7 +63,7 @@
 func (j *Journal) Kept(t *memory.Table, m *memory.Message) {
 	j.top = max(j.top, m.Num)
 	j.open()
-	j.arena = appendKept(append(j.arena, recKept), m)
+	j.arena = appendKept(append(j.arena, recKept), m, j.set.Dates)
 	if j.shut(entry{num: m.Num}); len(m.Notes) > 0 {
 		j.open()
 		j.arena = appendText(head(j.arena, recNotes, m.Num), m.Notes)
--- a/internal/memory/journal/given_test.go
+++ b/internal/memory/journal/given_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 )
 
@@ -15,8 +16,8 @@
 		{Num: 9, ID: "a", Class: "fee", Key: "k", Dest: 7, Body: []byte("body"), Notes: []byte("noted"), Deadline: risk, Steps: 2, RiskAt: risk},
 		{Num: 3, ID: "b", Class: "alert", Body: []byte("only in memory"), Unkept: true, Deadline: risk},
 	}
-	raw := Give(msgs, []byte("news"))
-	got, news, err := Given(raw)
+	raw := Give(msgs, []byte("news"), clock.Scale{})
+	got, news, err := Given(raw, clock.Scale{})
 	if err != nil || string(news) != "news" || len(got) != 2 {
 		t.Fatalf("%v, %q, %v", got, news, err)
 	}
@@ -27,12 +28,12 @@
 		t.Errorf("%+v", b)
 	}
 	for n := range raw {
-		if _, _, err := Given(raw[:n]); err == nil {
+		if _, _, err := Given(raw[:n], clock.Scale{}); err == nil {
 			t.Fatalf("cut at %d passes", n)
 		}
 		flipped := bytes.Clone(raw)
 		flipped[n] ^= 1
-		if _, _, err := Given(flipped); err == nil && n >= headSize {
+		if _, _, err := Given(flipped, clock.Scale{}); err == nil && n >= headSize {
 			t.Fatalf("flipped at %d passes", n)
 		}
 	}
--- a/internal/memory/journal/inspect.go
+++ b/internal/memory/journal/inspect.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 )
 
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in, s := &Inspection{Records: map[string]int{}}, newState()
+	in, s := &Inspection{Records: map[string]int{}}, newState(clock.Scale{})
 	slices.Sort(names)
 	fault := func(file string, at int, err error) { in.Faults = append(in.Faults, Fault{file, at, err}) }
 	var told error
@@ -106,7 +107,7 @@
 // describe is a record as audits see it; bodies stay out.
 func describe(name string, at, size int, payload []byte) Record {
 	r := Record{Segment: name, Offset: at, Bytes: size, Kind: kindNames[payload[0]]}
-	f := &fields{memory.Fields{B: payload[1:]}}
+	f := read(payload, clock.Scale{})
 	switch payload[0] {
 	case recTaken, recUnkept, recKept:
 		m := f.message()
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal/plan"
 )
@@ -35,8 +36,9 @@
 // Config is what a journal is made from.
 type Config struct {
 	FS     FS
-	Budget int64 // bytes that all files together may take
-	Bodies int64 // bytes that bodies of held messages may take in memory; 0: any number
+	Budget int64       // bytes that all files together may take
+	Bodies int64       // bytes that bodies of held messages may take in memory; 0: any number
+	Dates  clock.Scale // that records are dated on; the zero one is the wall clock
 	Log    *slog.Logger
 	Inline bool // clean on the owner's goroutine: for tests that count operations
 }
@@ -222,7 +224,7 @@
 	}
 	j.top = max(j.top, m.Num)
 	j.open()
-	j.arena = appendTerms(appendMessage(append(j.arena, kind), m), m.Terms)
+	j.arena = appendTerms(appendMessage(append(j.arena, kind), m, j.set.Dates), m.Terms)
 	if j.shut(entry{num: m.Num, kind: entryTaken}); len(m.Notes) > 0 {
 		j.open()
 		j.arena = appendText(head(j.arena, recNotes, m.Num), m.Notes)
@@ -249,7 +251,7 @@
 		return func() ([]byte, error) { return nil, ErrBody }
 	}
 	// Cleaning renames a copy over the segment: under its name there is always one that has the record.
-	name, fs, num := at.first.seg.name(), j.set.FS, m.Num
+	name, fs, num, dates := at.first.seg.name(), j.set.FS, m.Num, j.set.Dates
 	return func() (body []byte, err error) {
 		raw, err := fs.Read(name)
 		if err != nil {
@@ -258,7 +260,7 @@
 		err = ErrBody
 		walk(raw, func(_, _ int, payload []byte, bad error) {
 			if bad == nil && err != nil && (payload[0] == recTaken || payload[0] == recKept) {
-				if m := (&fields{memory.Fields{B: payload[1:]}}).message(); m.Num == num {
+				if m := read(payload, dates).message(); m.Num == num {
 					body, err = m.Body, nil
 				}
 			}
@@ -270,7 +272,7 @@
 // Out adds that a route step goes out with these messages. Only after Commit may the call's first byte go out.
 func (j *Journal) Out(at time.Time, msgs []*memory.Message) {
 	j.open()
-	j.arena = binary.AppendVarint(append(j.arena, recOut), at.UnixMicro())
+	j.arena = binary.AppendVarint(append(j.arena, recOut), j.set.Dates.Date(at))
 	e := entry{num: msgs[0].Num, kind: entryOut}
 	for _, m := range msgs {
 		j.arena = binary.AppendUvarint(j.arena, uint64(m.Num))
--- a/internal/memory/journal/old_test.go
+++ b/internal/memory/journal/old_test.go
@@ -296,3 +296,11 @@
 	}
 	return b
 }
+
+// wallMicro is how the first form wrote dates.
+func wallMicro(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMicro()
+}
--- a/internal/memory/journal/record.go
+++ b/internal/memory/journal/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 	"oatfold/policy"
 )
@@ -134,13 +135,13 @@
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
 }
 
-func appendMessage(b []byte, m *memory.Message) []byte {
+func appendMessage(b []byte, m *memory.Message, dates clock.Scale) []byte {
 	body := m.Body
 	if m.Unkept {
 		body = nil
 	}
 	b = binary.AppendUvarint(b, uint64(m.Num))
-	b = binary.AppendVarint(b, m.Deadline.UnixMicro())
+	b = binary.AppendVarint(b, dates.Date(m.Deadline))
 	b = binary.AppendVarint(b, int64(m.Dest))
 	b = appendText(appendText(appendText(b, m.ID), m.Class), m.Key)
 	return appendText(b, body)
@@ -185,52 +186,55 @@
 	return binary.AppendUvarint(append(b, kind), uint64(n.Advice.Microseconds()))
 }
 
-func wallMicro(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMicro()
-}
-
 // appendKept adds to a message what has happened to it. A step that is out counts as risk from its start on.
-func appendKept(b []byte, m *memory.Message) []byte {
-	b = appendMessage(b, m)
+func appendKept(b []byte, m *memory.Message, dates clock.Scale) []byte {
+	b = appendMessage(b, m, dates)
 	b = binary.AppendUvarint(b, uint64(m.Steps))
-	b = binary.AppendVarint(b, wallMicro(m.RiskAt))
+	b = binary.AppendVarint(b, dates.Date(m.RiskAt))
 	if m.Owed != nil {
 		b = appendNotice(b, *m.Owed)
 	}
 	return b
 }
 
-// fields takes a payload apart.
-type fields struct{ memory.Fields }
+// fields takes a payload apart, whose dates are on that scale.
+type fields struct {
+	memory.Fields
+	dates clock.Scale
+}
+
+func read(payload []byte, dates clock.Scale) *fields {
+	return &fields{memory.Fields{B: payload[1:]}, dates}
+}
 
 func (r *fields) message() *memory.Message {
-	return &memory.Message{Num: uint32(r.Uint()), Deadline: time.UnixMicro(r.Int()), Dest: int(r.Int()), ID: string(r.Text()),
+	return &memory.Message{Num: uint32(r.Uint()), Deadline: r.dates.Time(r.Int()), Dest: int(r.Int()), ID: string(r.Text()),
 		Class: string(r.Text()), Key: string(r.Text()), Body: append([]byte(nil), r.Text()...)}
 }
 
 // state is what records add up to.
 type state struct {
 	table   *memory.Table
+	dates   clock.Scale          // that records are dated on
 	bound   int64                // bytes that bodies may take in memory; 0: any number
 	pending map[uint32]time.Time // starts of route steps that are out
 	overs   uint64               // ordinal of the last message that was over
 	top     uint32               // largest message number met
 }
 
-func newState() *state { return &state{table: memory.NewTable(), pending: map[uint32]time.Time{}} }
+func newState(dates clock.Scale) *state {
+	return &state{table: memory.NewTable(), dates: dates, pending: map[uint32]time.Time{}}
+}
 
 // apply takes one record in. Records of messages that are not there are of those that were over and cleaned away.
 func (s *state) apply(payload []byte) error {
-	r := &fields{memory.Fields{B: payload[1:]}}
+	r := read(payload, s.dates)
 	switch kind := payload[0]; kind {
 	case recTaken, recUnkept, recKept:
 		m := r.message()
 		m.Unkept, m.Kept = kind == recUnkept, true
 		if kind == recKept {
-			if m.Steps, m.RiskAt = int(r.Uint()), memory.WallTime(r.Int()); len(r.B) > 0 {
+			if m.Steps, m.RiskAt = int(r.Uint()), r.dates.Time(r.Int()); len(r.B) > 0 {
 				n := r.Notice()
 				m.Owed = &n
 			}
@@ -246,7 +250,7 @@
 			s.table.Spill(m)
 		}
 	case recOut:
-		at := time.UnixMicro(r.Int())
+		at := r.dates.Time(r.Int())
 		for len(r.B) > 0 && !r.Bad {
 			n := uint32(r.Uint())
 			s.top = max(s.top, n)
@@ -318,7 +322,7 @@
 
 // nums calls f with each message that a record is of.
 func nums(payload []byte, f func(num uint32)) {
-	r := &fields{memory.Fields{B: payload[1:]}}
+	r := read(payload, clock.Scale{})
 	if payload[0] != recOut {
 		f(uint32(r.Uint()))
 		return
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	s := newState()
+	s := newState(set.Dates)
 	s.bound = set.Bodies
 	var legacy []string
 	for _, name := range names {
@@ -176,7 +176,7 @@
 	b := appendHead(nil, 1, top, 0)
 	for _, m := range all {
 		at := len(b)
-		if b = frame(appendKept(append(begin(b), recKept), m), at); len(m.Notes) > 0 {
+		if b = frame(appendKept(append(begin(b), recKept), m, j.set.Dates), at); len(m.Notes) > 0 {
 			at = len(b)
 			b = frame(appendText(head(begin(b), recNotes, m.Num), m.Notes), at)
 		}
--- a/internal/wire/decisions.go
+++ b/internal/wire/decisions.go
@@ -141,7 +141,7 @@
 		h.pending = append(h.pending, policy.Sites{Reach: h.watch})
 	}
 	for _, ep := range h.endpoints {
-		h.holdTil = max(h.holdTil, now+time.Until(time.Unix(0, ep.gate.until.Load())))
+		h.holdTil = max(h.holdTil, now+ep.gate.left())
 	}
 	for cl := range h.calls {
 		for i := range cl.items {
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -53,7 +53,7 @@
 	figures   *figures.Set
 	emptying  atomic.Bool   // the accept queue is emptied, then the listener closed
 	readsOver atomic.Bool   // nothing is read any more: the process is about to end
-	emptyTil  atomic.Int64  // at this time at the latest
+	emptyTil  atomic.Int64  // so long after it began at the latest
 	free      chan struct{} // told when a connection ends or may give way
 
 	mu       sync.Mutex
--- a/internal/wire/front_end_test.go
+++ b/internal/wire/front_end_test.go
@@ -288,7 +288,7 @@
 	fmt.Fprint(sock, ready)
 	e.Drain()
 	e.mu.Lock()
-	e.emptyTil.Store(time.Now().Add(time.Hour).UnixNano()) // the bound is not what is looked at
+	e.emptyTil.Store(int64(time.Since(e.began) + time.Hour)) // the bound is not what is looked at
 	e.mu.Unlock()
 	ln.TCPListener.SetDeadline(time.Unix(1, 0)) // the accept loop had no time to look
 	close(accept)
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -123,10 +123,15 @@
 	h.lend(n.Out)
 }
 
+// date is the date in so much time from now, for the process that takes this one's place.
+func (h *Host) date(left time.Duration) time.Time {
+	return time.UnixMicro(h.dates.Date(time.Now().Add(left)))
+}
+
 // heldBack heeds waits that the process before was told.
 func (h *Host) heldBack(waits []handover.Wait) {
 	for _, w := range waits {
-		left := min(time.Until(w.Until), maxWaitMs*time.Millisecond)
+		left := min(time.Until(h.dates.Time(w.Until.UnixMicro())), maxWaitMs*time.Millisecond)
 		if left <= 0 {
 			continue
 		}
@@ -186,7 +191,7 @@
 			news.List.Members = append(news.List.Members, handover.Member{HostPort: ep.addr, Endpoint: policy.Endpoint{Address: ep.id, Destination: ep.dest,
 				Kind: h.kinds[ep.dest], Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate}})
 			if ep.gate.closed() {
-				h.waits = append(h.waits, handover.Wait{Endpoint: ep.id, Dest: ep.dest, Until: time.Unix(0, ep.gate.until.Load())})
+				h.waits = append(h.waits, handover.Wait{Endpoint: ep.id, Dest: ep.dest, Until: h.date(ep.gate.left())})
 			}
 		}
 		h.left = nil
@@ -258,7 +263,7 @@
 	for cl := range h.calls {
 		news.Out = append(news.Out, policy.Lent{Endpoint: cl.ep.id, Age: h.now() - cl.began})
 	}
-	if err := to(journal.Give(msgs, news.Encode())); err != nil {
+	if err := to(journal.Give(msgs, news.Encode(), h.dates)); err != nil {
 		h.log.Error("not given to the process that takes over: it stays in the room", "messages", len(msgs), "err", err)
 		return err
 	}
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/handover"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
@@ -112,7 +113,7 @@
 	var given []*memory.Message
 	var news []*handover.News
 	give := func(b []byte) error {
-		msgs, text, err := journal.Given(b)
+		msgs, text, err := journal.Given(b, clock.Scale{})
 		if err != nil {
 			return err
 		}
@@ -230,7 +231,7 @@
 	w := startWorld(t, func(rw http.ResponseWriter, r *http.Request, body string) { <-release; rw.WriteHeader(500) })
 	ids := map[string]int{}
 	give := func(b []byte) error {
-		msgs, _, err := journal.Given(b)
+		msgs, _, err := journal.Given(b, clock.Scale{})
 		for _, m := range msgs {
 			ids[m.ID]++ // on the host's goroutine
 		}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oatfold/internal/choice"
+	"oatfold/internal/clock"
 	"oatfold/internal/figures"
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/sequence"
@@ -63,6 +64,7 @@
 	zones       []string // names, by number
 	byHand      chan ByHand
 	dialTimeout time.Duration
+	dates       clock.Scale // of what is left to other processes
 	start       time.Time
 	seed        int64 // of this relay's own draws
 	generation  int64 // of the pool config; -1: none
@@ -137,6 +139,7 @@
 	Sites          *sites.Plan    // nil: none
 	Figures        *figures.Set   // nil: nobody reads them
 	Standby        bool           // no steps until Activate
+	Dates          clock.Scale    // of what is left to other processes
 	Log            *slog.Logger
 }
 
@@ -157,7 +160,7 @@
 		return nil, err
 	}
 	h := &Host{set: c.Settings, relay: relay, table: c.Table, journal: c.Journal, log: c.Log, plugins: c.Plugins, seed: c.Seed,
-		reports: c.Reports, dialTimeout: c.ConnectTimeout, idleMost: c.IdleMost, start: start, events: make(chan any, eventRoom),
+		reports: c.Reports, dialTimeout: c.ConnectTimeout, dates: c.Dates, idleMost: c.IdleMost, start: start, events: make(chan any, eventRoom),
 		notices: make(chan owed, eventRoom), endpoints: map[string]*endpoint{}, gates: map[int]*gate{}, routes: map[string]*gate{},
 		calls: map[*call]struct{}{}, turns: map[string][]*turn{}, awaited: awaitedNotices{}, kindOf: map[string]policy.Kind{}, kinds: map[int]string{}, figures: c.Figures}
 	h.zones, h.byHand = c.Zones, make(chan ByHand, sitesByHand)
--- a/internal/wire/listen.go
+++ b/internal/wire/listen.go
@@ -75,7 +75,7 @@
 // empty has Serve take what is in the accept queue, within bounds, then close the listener.
 func (f *Front) empty() {
 	now := time.Now()
-	f.emptyTil.CompareAndSwap(0, now.Add(emptyMost).UnixNano())
+	f.emptyTil.CompareAndSwap(0, int64(now.Add(emptyMost).Sub(f.began)))
 	f.emptying.Store(true)
 	if d, ok := f.ln.(interface{ SetDeadline(time.Time) error }); ok {
 		d.SetDeadline(f.emptyBy(now))
@@ -87,5 +87,5 @@
 
 // emptyBy is when the accept queue counts as empty if nobody comes.
 func (f *Front) emptyBy(now time.Time) time.Time {
-	return earlier(now.Add(emptyFor), time.Unix(0, f.emptyTil.Load()))
+	return earlier(now.Add(emptyFor), f.began.Add(time.Duration(f.emptyTil.Load())))
 }
--- a/internal/wire/ordering_test.go
+++ b/internal/wire/ordering_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/handover"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
@@ -100,7 +101,7 @@
 	o.spool = nil
 	o.mu.Unlock()
 	for _, raw := range files {
-		msgs, text, err := journal.Given(raw)
+		msgs, text, err := journal.Given(raw, clock.Scale{})
 		if err != nil {
 			o.t.Fatal(err)
 		}
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -16,6 +16,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/figures"
 	"oatfold/internal/index"
 	"oatfold/internal/plugin"
@@ -107,12 +108,13 @@
 	return a.status == 503 && !a.keep && a.get("Wait-Ms") == "" && a.get("Slots-Taken") == ""
 }
 
-// gate is what the connections of a destination share: until when it must not be sent to.
-type gate struct{ until atomic.Int64 }
+// gate is what the connections of a destination share: until when it must not be sent to. That is kept on the monotonic clock: a wait
+// is a span, and a step of the wall clock would open the gate or keep it shut.
+type gate struct{ until atomic.Int64 } // as clock.Since
 
 // hold closes the gate for at least d from now on.
 func (g *gate) hold(d time.Duration) {
-	for end := time.Now().Add(d).UnixNano(); ; {
+	for end := int64(clock.Since() + d); ; {
 		was := g.until.Load()
 		if was >= end || g.until.CompareAndSwap(was, end) {
 			return
@@ -120,7 +122,10 @@
 	}
 }
 
-func (g *gate) closed() bool { return time.Now().UnixNano() < g.until.Load() }
+// left is for how long the gate stays closed; negative once it is open.
+func (g *gate) left() time.Duration { return time.Duration(g.until.Load()) - clock.Since() }
+
+func (g *gate) closed() bool { return g.left() > 0 }
 
 // endpoint is where a member of the pool config is reached. The state is read by its connections.
 type endpoint struct {
--- a/internal/wire/terms_test.go
+++ b/internal/wire/terms_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/policy"
@@ -26,7 +27,7 @@
 			t.Fatal(err)
 		}
 	}
-	given, _, err := journal.Given(journal.Give([]*memory.Message{table.ByID("m0"), table.ByID("m1")}, nil))
+	given, _, err := journal.Given(journal.Give([]*memory.Message{table.ByID("m0"), table.ByID("m1")}, nil, clock.Scale{}), clock.Scale{})
 	if err != nil || len(given) != 2 || given[0].Terms != want || given[1].Terms != (memory.Terms{}) {
 		t.Errorf("given to another process: %+v, %v", given, err)
 	}
--- a/internal/wire/waits.go
+++ b/internal/wire/waits.go
@@ -109,8 +109,7 @@
 	}
 	h.pool.Told(h.now(), h.targets.Of(ep.id, ep.dest), wait)
 	if h.giving != nil {
-		until := time.Now().Add(wait)
-		h.waits = append(h.waits, handover.Wait{Endpoint: ep.id, Dest: ep.dest, Until: until})
+		h.waits = append(h.waits, handover.Wait{Endpoint: ep.id, Dest: ep.dest, Until: h.date(wait)})
 	}
 	listed := h.endpoints[ep.id]
 	switch {
