Hear a stop behind any number of reloads, and outlast system calls that fail for a moment

Cause: stop and reload shared a queue of four signals, and a configuration was read on the goroutine that hears them: reloads that waited pushed the stop out, and a file that hung held it back until the kill. A start was refused, a reload forgotten, and the relay deaf to its peers for good, over one error of a system call that passes. Change: a signal of its own for stop and reload; the configuration is read beside. A full disk refuses no start while the reserve file can give way, and the baton is not written where it says the right thing. The loop that hears other relays ends only with its socket.

--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -2,8 +2,10 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"io/fs"
 	"net"
 	"net/netip"
 	"os"
@@ -82,7 +84,11 @@
 	if c.State == "" {
 		return nil, fmt.Errorf("ROUTER_STATE is not set: name the folder that lasts")
 	}
-	if st, err := os.Stat(c.State); err != nil || !st.IsDir() {
+	st, err := os.Stat(c.State)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("ROUTER_STATE: %w", err)
+	}
+	if err != nil || !st.IsDir() {
 		return nil, fmt.Errorf("ROUTER_STATE: %q is not a folder", c.State)
 	}
 	for key, addr := range map[string]string{"listen (ROUTER_LISTEN)": c.Listen, "discovery (ROUTER_DISCOVERY)": c.Discovery} {
@@ -135,7 +141,6 @@
 	if !doc.Get("settings").Exists() {
 		return nil, fmt.Errorf("settings: missing")
 	}
-	var err error
 	var columns []string
 	if c.Settings, columns, err = ParseSettings(doc.Get("settings").Raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"oatfold/internal/figures"
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/rooms"
+	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/internal/plugin"
 	"oatfold/internal/sites"
@@ -58,21 +59,24 @@
 
 // relay is one process of a relay as it runs.
 type relay struct {
-	from    Sources
-	c       *config.Config
-	log     *slog.Logger
-	signals chan os.Signal
-	folder  *rooms.Folder
-	room    *rooms.Room
-	host    *wire.Host
-	serving atomic.Pointer[wire.Host]  // nil: there is none yet
-	zones   []string                   // names, as configured at the start
-	front   atomic.Pointer[wire.Front] // nil: it does not serve yet
-	standby atomic.Bool                // it could, and waits for the baton
-	notes   *wire.Notes
-	holder  *plugin.Holder
-	count   *figures.Set
-	loading <-chan plug // plug-ins of a reload
+	from Sources
+	c    *config.Config
+	log  *slog.Logger
+	// A signal of its own for each: reloads that wait never push a stop out. One that waits stands for all that come meanwhile.
+	terminate, hangup chan os.Signal
+	folder            *rooms.Folder
+	room              *rooms.Room
+	host              *wire.Host
+	serving           atomic.Pointer[wire.Host]  // nil: there is none yet
+	zones             []string                   // names, as configured at the start
+	front             atomic.Pointer[wire.Front] // nil: it does not serve yet
+	standby           atomic.Bool                // it could, and waits for the baton
+	notes             *wire.Notes
+	holder            *plugin.Holder
+	count             *figures.Set
+	loading           <-chan plug // plug-ins of a reload
+	reading           <-chan read // the configuration of a reload; nil: none is read
+	again             bool        // one was asked for while it was read
 
 	inheriting atomic.Bool // the process before is still leaving
 	marking    sync.Mutex  // of what the state folder says of a drain
@@ -85,21 +89,30 @@
 // Run serves until SIGTERM or SIGINT. SIGHUP makes it read its sources again and go on with what they say. Where another process of
 // the same relay serves, it stands by until that one leaves.
 func Run(from Sources, log *slog.Logger) error {
-	r := &relay{from: from, log: log, signals: make(chan os.Signal, 4), holder: &plugin.Holder{}, count: &figures.Set{}, stop: func() {}}
-	signal.Notify(r.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	r := &relay{from: from, log: log, terminate: make(chan os.Signal, 1), hangup: make(chan os.Signal, 1), holder: &plugin.Holder{}, count: &figures.Set{}, stop: func() {}}
+	signal.Notify(r.terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(r.hangup, syscall.SIGHUP)
 	traces := make(chan os.Signal, 1)
 	signal.Notify(traces, syscall.SIGUSR1) // from the start on: unheard it would end the process
-	c, err := from.Platform()
-	if err != nil {
+	var c *config.Config
+	err := r.starting("configuration can't be read", func() (err error) {
+		c, err = from.Platform()
 		return err
+	})
+	if err != nil {
+		return r.startFailed(err)
 	}
 	r.c, r.zones = c, c.Zones
 	debug.SetMemoryLimit(memoryAim(c))
 	// The operators' calls are answered while a journal is read, too.
 	if c.Admin != "" {
-		ln, err := net.Listen("tcp", c.Admin)
+		var ln net.Listener
+		err := r.starting("admin address can't be had", func() (err error) {
+			ln, err = net.Listen("tcp", c.Admin)
+			return err
+		})
 		if err != nil {
-			return fmt.Errorf("admin (ROUTER_ADMIN): %w", err)
+			return r.startFailed(fmt.Errorf("admin (ROUTER_ADMIN): %w", err))
 		}
 		defer admin.Serve(ln, r.calls()).Close()
 	}
@@ -117,15 +130,20 @@
 	}
 	active, err := r.enter()
 	if err != nil {
-		return err
+		return r.startFailed(err)
 	}
 	budget := r.disk() - r.folder.Used(r.room)
 	if !active {
 		budget = handover.Budget(r.disk(), 0, r.folder.Used(r.room))
 	}
-	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(r.room.Path), Budget: budget, Bodies: bodies, Dates: r.folder.Dates(), Log: log})
+	var kept *journal.Journal
+	var table *memory.Table
+	err = r.starting("journal can't be opened", func() (err error) {
+		kept, table, err = journal.Open(journal.Config{FS: journal.Dir(r.room.Path), Budget: budget, Bodies: bodies, Dates: r.folder.Dates(), Log: log})
+		return err
+	})
 	if err != nil {
-		return fmt.Errorf("ROUTER_STATE: %w", err)
+		return r.startFailed(fmt.Errorf("ROUTER_STATE: %w", err))
 	}
 	defer kept.Close()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -142,10 +160,8 @@
 				log.Error("plug-ins not loaded", "err", p.err)
 			}
 			r.holder.Put(p.set)
-		case sig := <-r.signals:
-			if sig != syscall.SIGHUP { // what it asks for is being read
-				return nil
-			}
+		case <-r.terminate: // a reload waits until there is something to reload
+			return nil
 		}
 	}
 	set := hostConfig(c)
@@ -178,7 +194,7 @@
 	}
 	follow, err := r.serve(set.Standby)
 	if err != nil {
-		return err
+		return r.startFailed(err)
 	}
 	defer func() {
 		if r.notes != nil {
@@ -200,10 +216,12 @@
 	}
 	for serving := true; serving; {
 		select {
-		case sig := <-r.signals:
-			if serving = sig == syscall.SIGHUP; serving {
-				r.reload(ctx)
-			}
+		case <-r.terminate:
+			serving = false
+		case <-r.hangup:
+			r.reload()
+		case c := <-r.reading:
+			r.apply(ctx, c)
 		case <-look:
 			// Guards against a disk limit that the journal here and the room of one that stands by go over together.
 			if used := r.folder.Used(r.room); !r.inheriting.Load() && used != r.others {
@@ -230,24 +248,36 @@
 // enter takes the baton and the room that goes with it, or a room to stand by in.
 func (r *relay) enter() (active bool, err error) {
 	// Guards against a process of an earlier version, which knows no baton: its journal must not be opened beside it.
-	if err := wire.Free(r.c.Listen); err != nil {
+	if err := r.starting("address can't be looked at", func() error { return wire.Free(r.c.Listen) }); err != nil {
 		return false, fmt.Errorf("listen: %w", err)
 	}
-	if r.folder, err = rooms.Open(r.c.State, r.log); err == nil {
-		active, err = r.folder.TryBaton()
-	}
-	if err == nil {
-		r.room, err = r.folder.Home(active)
-	}
-	if err == nil && active {
-		err = r.folder.Name(r.room)
-	}
-	if err != nil {
-		return false, fmt.Errorf("ROUTER_STATE: %w", err)
+	for _, step := range []func() error{
+		func() (err error) { r.folder, err = rooms.Open(r.c.State, r.log); return err },
+		func() (err error) { active, err = r.folder.TryBaton(); return err },
+		func() (err error) { r.room, err = r.folder.Home(active); return err },
+		func() error {
+			if !active {
+				return nil
+			}
+			return r.folder.Name(r.room)
+		},
+	} {
+		if err := r.starting("state folder can't be entered", step); err != nil {
+			return false, fmt.Errorf("ROUTER_STATE: %w", err)
+		}
 	}
 	return active, nil
 }
 
+// startFailed is what a start ends with that got no further: nothing is wrong where it was told to end meanwhile.
+func (r *relay) startFailed(err error) error {
+	if len(r.terminate) > 0 && passes(err) {
+		r.log.Info("told to end before the start was over", "err", err)
+		return nil
+	}
+	return err
+}
+
 // shared tells whether there is anything of other processes to take over.
 func (r *relay) shared() bool {
 	if len(r.folder.Given()) > 0 {
@@ -282,11 +312,12 @@
 				return false, fmt.Errorf("ROUTER_STATE: %w", err)
 			}
 			return true, nil
-		case sig := <-r.signals:
-			if sig != syscall.SIGHUP {
-				return false, nil
-			}
-			r.reload(ctx)
+		case <-r.terminate:
+			return false, nil
+		case <-r.hangup:
+			r.reload()
+		case c := <-r.reading:
+			r.apply(ctx, c)
 		case p := <-r.loading:
 			r.loading = nil
 			r.swap(p)
@@ -304,7 +335,11 @@
 	if others {
 		leaving = successor.take()
 	}
-	ln, err := wire.Listen(r.c.Listen)
+	var ln net.Listener
+	err = r.starting("address can't be had", func() (err error) {
+		ln, err = wire.Listen(r.c.Listen)
+		return err
+	})
 	if err != nil {
 		return follow, fmt.Errorf("listen: %w", err)
 	}
@@ -344,7 +379,11 @@
 	if len(r.c.Peers) == 0 {
 		return
 	}
-	notes, err := wire.ListenNotes(r.c.PeerListen, r.c.Peers, r.log)
+	var notes *wire.Notes
+	err := patiently("no notes between relays", time.Second, func() bool { return len(r.terminate) > 0 }, r.log, func() (err error) {
+		notes, err = wire.ListenNotes(r.c.PeerListen, r.c.Peers, r.log)
+		return err
+	})
 	if err != nil {
 		r.log.Warn("no notes between relays", "peer_listen", r.c.PeerListen, "err", err)
 		return
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -49,9 +49,40 @@
 	return done
 }
 
-// reload reads the sources again.
-func (r *relay) reload(ctx context.Context) {
-	r.c = reload(r.c, r.from.Platform, r.host, r.front.Load(), r.log)
+// read is what reading the platform's configuration came to.
+type read struct {
+	c   *config.Config
+	err error
+}
+
+// reload begins to read the sources again, off the goroutine that hears of a stop: a file may hang as it is read. What is asked for while
+// one is read comes behind it, since that one may be too old by then.
+func (r *relay) reload() {
+	r.log.Info("reloading")
+	if r.reading != nil {
+		r.again = true
+		return
+	}
+	done := make(chan read, 1)
+	go func() {
+		var got read
+		got.err = patiently("configuration can't be read", reloadPatience, func() bool { return r.stopping.Load() }, r.log, func() (err error) {
+			got.c, err = r.from.Platform()
+			return err
+		})
+		done <- got
+	}()
+	r.reading = done
+}
+
+// apply puts a configuration that was read in force, and goes on with the operator's file.
+func (r *relay) apply(ctx context.Context, got read) {
+	r.reading = nil
+	r.c = reload(r.c, got, r.host, r.front.Load(), r.log)
+	if r.again {
+		r.again = false
+		r.reload()
+	}
 	r.stop() // Guards against an older file that comes into force after a newer one
 	go drop(r.loading)
 	var now context.Context
@@ -90,9 +121,8 @@
 
 // reload puts the configuration as it is now in force and returns it. Guards against a file that is wrong or half
 // written: it is read and checked whole before anything changes, and the old one stays.
-func reload(old *config.Config, load func() (*config.Config, error), host *wire.Host, front *wire.Front, log *slog.Logger) *config.Config {
-	log.Info("reloading")
-	c, err := load()
+func reload(old *config.Config, got read, host *wire.Host, front *wire.Front, log *slog.Logger) *config.Config {
+	c, err := got.c, got.err
 	if err == nil {
 		err = host.Reload(hostConfig(c), c.Discovery)
 	}
--- a/internal/handover/rooms/rooms.go
+++ b/internal/handover/rooms/rooms.go
@@ -132,6 +132,9 @@
 // Name writes whose journal is in force from now on. The holder of the baton does so before it takes anything over.
 func (f *Folder) Name(r *Room) error {
 	name := r.Name + "\n"
+	if have, err := os.ReadFile(f.baton.Name()); err == nil && string(have) == name {
+		return nil // a disk that takes nothing now refuses no start for it
+	}
 	if _, err := f.baton.WriteAt([]byte(name), 0); err != nil {
 		return err
 	}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -58,7 +58,11 @@
 	j.overs, j.top = s.overs, max(j.top, s.top)
 	s.table.StartAfter(j.top)
 	j.live(s.table)
-	if err := j.rotate(); err != nil {
+	err = j.rotate()
+	if err != nil && set.FS.Remove(reserveName) == nil {
+		err = j.rotate() // a full disk refuses no start while the reserve has room to give
+	}
+	if err != nil {
 		return nil, nil, err
 	}
 	j.fill()
--- a/internal/wire/notes.go
+++ b/internal/wire/notes.go
@@ -1,9 +1,11 @@
 package wire
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"oatfold/internal/peers"
 	"oatfold/internal/peers/members"
@@ -12,6 +14,9 @@
 // noteRoom is how many notes may wait to go out; more are dropped, as the network may drop them.
 const noteRoom = 256
 
+// hearAgain is the pause behind a read that failed.
+const hearAgain = 20 * time.Millisecond
+
 // noteHeard is a datagram of another relay.
 type noteHeard struct {
 	from int
@@ -58,9 +63,15 @@
 	buf := make([]byte, 4*peers.MaxNote)
 	for {
 		size, from, err := n.sock.ReadFromUDPAddrPort(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// Guards against a relay that hears nobody for good, for a read that failed for a moment.
+			n.log.Debug("no note read", "err", err)
+			time.Sleep(hearAgain)
+			continue
+		}
 		i, known := who[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !known || size > peers.MaxNote {
 			n.log.Debug("note of nobody", "from", from, "bytes", size)
