--- a/internal/cli/plugin_test.go
+++ b/internal/cli/plugin_test.go
@@ -139,7 +139,8 @@
 		t.Errorf("export: exit %d, %s", code, out)
 	}
 	for what, change := range map[string]func([]byte) []byte{
-		"offset 24: checksum": func(b []byte) []byte { b[40] ^= 1; return b },
+		// Behind the head and the beginning of the batch, in which a message and its notes come.
+		"offset 34: checksum": func(b []byte) []byte { b[40] ^= 1; return b },
 		"whole record":        func(b []byte) []byte { return b[:len(b)-1] },
 	} {
 		broken := change(append([]byte{}, whole...))
--- a/internal/memory/journal/inspect.go
+++ b/internal/memory/journal/inspect.go
@@ -64,7 +64,7 @@
 			continue
 		case name == reserveName || strings.HasSuffix(name, tmpExt):
 			continue
-		case name == "baton" || name == "lock" || name == "spool" || strings.HasPrefix(name, "life-"):
+		case name == "baton" || name == "lock" || name == "spool" || name == "clock" || name == "drained" || strings.HasPrefix(name, "life-"):
 			continue // what processes of one relay share
 		default:
 			fault(name, 0, fmt.Errorf("not part of the journal"))
@@ -81,6 +81,9 @@
 			continue
 		}
 		end := walk(raw, func(at, size int, payload []byte, err error) {
+			if err == nil && payload[0] == recBatch {
+				return // it is of no message
+			}
 			if err == nil {
 				in.Records[kindNames[payload[0]]]++
 				err = s.apply(payload)
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -13,6 +13,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"oatfold/internal/clock"
@@ -377,14 +378,19 @@
 		j.torn = false
 	}
 	// A segment that refused a write is left: a bound on the size of a file would refuse the next one as well.
-	if plan.Seal(j.set.Budget, j.good-int64(headSize), j.batchB) || j.over && j.good > int64(headSize) {
+	if plan.Seal(j.set.Budget, j.good-int64(headSize), j.batchB+batchHead) || j.over && j.good > int64(headSize) {
 		if err := j.rotate(); err != nil {
 			return err
 		}
 	}
-	j.buf = append(j.buf[:0], j.arena...)
+	j.buf = j.buf[:0]
+	if j.refusable() {
+		j.buf = appendBatch(j.buf, len(j.arena), j.salt)
+	}
+	from := len(j.buf)
+	j.buf = append(j.buf, j.arena...)
 	for _, e := range j.batch {
-		salted(j.buf[e.from:], j.salt)
+		salted(j.buf[from+e.from:], j.salt)
 	}
 	n, err := j.file.Write(j.buf)
 	if err == nil && n < len(j.buf) {
@@ -418,6 +424,12 @@
 	return nil
 }
 
+// refusable tells whether the batch has several records, and one that does not hold if not all of them are written. Guards against the half
+// of a write that failed, could not be cut off, and is found by the next life: what was refused would be taken on.
+func (j *Journal) refusable() bool {
+	return len(j.batch) > 1 && slices.ContainsFunc(j.batch, func(e entry) bool { return e.kind != entryEnd })
+}
+
 func (j *Journal) book(g *segment, num uint32, bytes int64) {
 	j.note(num, spot{g, bytes})
 	g.nums[num] += bytes
--- a/internal/memory/journal/record.go
+++ b/internal/memory/journal/record.go
@@ -33,6 +33,7 @@
 	recOut    byte = 'O' // a route step goes out: one or more messages, written before the call's first byte
 	recNotRun byte = 'N' // the latest route step of a message is proved not to have run
 	recOwed   byte = 'E' // a message is ended; its notice is owed
+	recBatch  byte = 'B' // so many bytes of records follow that count together, or not at all
 	recOver   byte = 'X' // nothing more is owed: ordinal, id (empty: it may be taken on again)
 )
 
@@ -100,6 +101,9 @@
 	for end = at; at < len(raw); {
 		payload, size, err := next(raw[at:], salt)
 		if size > 0 && err == nil {
+			if payload[0] == recBatch && !wholeBatch(payload, len(raw)-at-size) {
+				return end // a torn tail: nothing of it was promised
+			}
 			tell(at, size, payload, nil)
 			at += size
 			end = at
@@ -129,6 +133,23 @@
 	return end
 }
 
+// appendBatch begins a batch of so many bytes. A version that knows no batches names it as bad and reads its records one by one.
+func appendBatch(b []byte, bytes int, salt uint32) []byte {
+	at := len(b)
+	b = frame(binary.AppendUvarint(append(begin(b), recBatch), uint64(bytes)), at)
+	salted(b[at:], salt)
+	return b
+}
+
+// batchHead bounds what the beginning of a batch takes.
+const batchHead = frameHead + 1 + binary.MaxVarintLen32
+
+// wholeBatch tells whether all of a batch is among the bytes that follow its beginning.
+func wholeBatch(payload []byte, follow int) bool {
+	bytes, n := binary.Uvarint(payload[1:])
+	return n > 0 && bytes <= uint64(follow)
+}
+
 // --- payloads ---
 
 func appendText[T string | []byte](b []byte, s T) []byte {
@@ -295,6 +316,7 @@
 				s.table.Forget(m.ID)
 			}
 		}
+	case recBatch: // walk has looked whether it is whole
 	default:
 		return fmt.Errorf("unknown kind %q", kind)
 	}
@@ -322,6 +344,9 @@
 
 // nums calls f with each message that a record is of.
 func nums(payload []byte, f func(num uint32)) {
+	if payload[0] == recBatch {
+		return
+	}
 	r := read(payload, clock.Scale{})
 	if payload[0] != recOut {
 		f(uint32(r.Uint()))
