--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"oatfold/internal/memory/journal"
 	"oatfold/internal/plugin"
 	"oatfold/internal/sites"
+	"oatfold/internal/transient"
 	"oatfold/internal/wire"
 )
 
@@ -271,7 +272,7 @@
 
 // startFailed is what a start ends with that got no further: nothing is wrong where it was told to end meanwhile.
 func (r *relay) startFailed(err error) error {
-	if len(r.terminate) > 0 && passes(err) {
+	if len(r.terminate) > 0 && transient.Is(err) {
 		r.log.Info("told to end before the start was over", "err", err)
 		return nil
 	}
--- a/internal/daemon/patience.go
+++ b/internal/daemon/patience.go
@@ -1,11 +1,10 @@
 package daemon
 
 import (
-	"errors"
 	"log/slog"
-	"slices"
-	"syscall"
 	"time"
+
+	"oatfold/internal/transient"
 )
 
 // This file is about system calls that fail for a moment: no start is refused and no reload forgotten for one.
@@ -16,22 +15,12 @@
 	patienceTurn   = 50 * time.Millisecond
 )
 
-// passing are the errors that pass by themselves: this machine or its disk has no room, or no way, at the moment.
-var passing = []syscall.Errno{syscall.EIO, syscall.ENOSPC, syscall.EDQUOT, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM,
-	syscall.EAGAIN, syscall.EINTR, syscall.ENOLCK, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.ECONNABORTED}
-
-// passes tells whether err may pass by itself.
-func passes(err error) bool {
-	var number syscall.Errno
-	return errors.As(err, &number) && slices.Contains(passing, number)
-}
-
-// patiently takes a step again while it fails with an error that may pass, for so long at most. It gives up with the last error
-// once giveUp is closed or holds a value, which stays there.
+// patiently takes a step again while it fails with an error that may pass, for so long at most, or until giveUp says so. It returns the
+// last error.
 func patiently(what string, limit time.Duration, giveUp func() bool, log *slog.Logger, step func() error) error {
 	for began, told := time.Now(), false; ; {
 		err := step()
-		if err == nil || !passes(err) || time.Since(began) >= limit || giveUp() {
+		if err == nil || !transient.Is(err) || time.Since(began) >= limit || giveUp() {
 			return err
 		}
 		if !told {
--- /dev/null
+++ b/internal/wire/dial_test.go
@@ -0,0 +1,43 @@
+package wire
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"oatfold/policy"
+)
+
+// Found by reading: a dial that failed for want of a port, a buffer or a descriptor of this machine was booked to the endpoint, which
+// took it for out after some. Such a dial is made again, and where none passes in time it says nothing of the endpoint.
+func TestDialsThatThisMachineHadNoRoomFor(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	for _, c := range []struct {
+		errno   syscall.Errno
+		failing int
+		want    policy.Outcome
+	}{
+		{syscall.EADDRNOTAVAIL, 3, policy.Delivered}, {syscall.ENOBUFS, 3, policy.Delivered}, {syscall.ENETUNREACH, 3, policy.Delivered},
+		{syscall.EMFILE, 1 << 20, policy.Unsent}, {syscall.ENETUNREACH, 1 << 20, policy.ConnectFailed},
+		{syscall.ECONNREFUSED, 1, policy.ConnectFailed}, {syscall.EHOSTUNREACH, 1, policy.ConnectFailed},
+	} {
+		dials := 0
+		conn := &routeConn{ep: &endpoint{addr: addr, gate: &gate{}}, dialTimeout: 200 * time.Millisecond, dial: func(addr string, limit time.Duration) (net.Conn, error) {
+			if dials++; dials <= c.failing {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", c.errno)}
+			}
+			return net.DialTimeout("tcp", addr, limit)
+		}}
+		res := conn.carry(&call{ep: conn.ep, items: []item{{id: "m"}}, deadline: time.Now().Add(time.Minute)})
+		conn.drop()
+		if got := res.ends[0].outcome; got != c.want {
+			t.Errorf("%v %d times: %v, %v, want %v", c.errno, c.failing, got, res.err, c.want)
+		}
+	}
+}
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -249,21 +249,7 @@
 }
 
 // bare is a host without its loop, for steps by hand.
-func bare(t *testing.T) *Host {
-	kept, table, err := journal.Open(journal.Config{FS: journal.Dir(t.TempDir()), Budget: 3e6, Log: quiet})
-	if err != nil {
-		t.Fatal(err)
-	}
-	known, err := memory.ParsePoolConfig(pool("127.0.0.1:1", "in_service", 1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	h, err := NewHost(HostConfig{Settings: testSettings(), Known: known, Table: table, Journal: kept, Log: quiet})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return h
-}
+func bare(t *testing.T) *Host { return bareOn(t, journal.Dir(t.TempDir())) }
 
 func (h *Host) message(id string, dest, size int) *memory.Message {
 	m := &memory.Message{Num: h.table.Next(), ID: id, Class: "alert", Dest: dest, Body: make([]byte, size), Deadline: time.Now().Add(time.Hour)}
--- /dev/null
+++ b/internal/wire/records_test.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/internal/standin/disk"
+)
+
+// Found by reading, after messages were forwarded that had ended: while the disk took no records, a message was handed back and the
+// platform told; killed then, the next life found the message untried and forwarded it, while its client had handed it in elsewhere.
+// The notice waits for its record, or until its message's time is up, when no life forwards it any more.
+func TestNoticeWaitsForItsRecord(t *testing.T) {
+	d := disk.New()
+	h := bareOn(t, d)
+	early, late := h.message("early", 7, 1), h.message("late", 7, 1)
+	late.Deadline = time.Now()
+	for n := 1; n < 20; n++ {
+		d.Fail(d.Ops()+n, disk.Error)
+	}
+	h.finish(early.Num, memory.Notice{Refused: true})
+	h.finish(late.Num, memory.Notice{})
+	h.commit()
+	h.flushNotices()
+	if n := len(h.notices); n != 1 || (<-h.notices).id != "late" {
+		t.Fatalf("%d notices went out without a record", n)
+	}
+	for h.journal.Pending() { // the disk is well again behind its failures
+		h.commit()
+	}
+	h.flushNotices()
+	if len(h.notices) != 1 || (<-h.notices).id != "early" {
+		t.Error("the notice did not go out behind its record")
+	}
+}
+
+// Found by reading: where the successor could not be told of hand-ins of ordered classes, those of the same turn that are in no order were
+// answered as taken, but not settled and not named in the log.
+func TestHandInsBesideOnesThatAreNotAnnounced(t *testing.T) {
+	var text bytes.Buffer
+	h := bareOn(t, disk.New())
+	h.log = slog.New(slog.NewTextHandler(&text, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	h.giving = func([]byte) error { return errors.New("no room in the spool") }
+	answers := map[string]chan verdict{}
+	for id, subject := range map[string]string{"plain": "", "ordered": "s"} {
+		m := &memory.Message{ID: id, Class: "alert", Dest: 7, Deadline: time.Now().Add(time.Hour), Body: []byte("b")}
+		m.Subject = subject
+		answers[id] = make(chan verdict, 1)
+		h.take(handIn{m, answers[id]})
+	}
+	h.commit()
+	if plain, ordered := <-answers["plain"], <-answers["ordered"]; !plain.taken || ordered.taken || ordered.known {
+		t.Errorf("answered %+v and %+v", plain, ordered)
+	}
+	if log := text.String(); !strings.Contains(log, "message=plain") || strings.Contains(log, "message=ordered") {
+		t.Errorf("the log names what was taken on as %q", log)
+	}
+}
+
+// bareOn returns a host that nobody runs, whose journal is in that folder.
+func bareOn(t *testing.T, fs journal.FS) *Host {
+	t.Helper()
+	kept, table, err := journal.Open(journal.Config{FS: fs, Budget: 3e6, Log: quiet, Inline: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	known, err := memory.ParsePoolConfig(pool("127.0.0.1:1", "in_service", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := NewHost(HostConfig{Settings: testSettings(), Known: known, Table: table, Journal: kept, Log: quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
--- a/internal/wire/requests.go
+++ b/internal/wire/requests.go
@@ -117,15 +117,7 @@
 		err = h.announce()
 	}
 	for _, r := range h.replies {
-		if err == nil && r.v.taken {
-			h.logTaken(r.msg)
-			h.journal.Settle(h.table, r.msg)
-		}
-		// Guards against answering the same hand-in once more as taken while it is not.
-		if err != nil && r.msg != nil && h.table.Get(r.msg.Num) != r.msg {
-			r.v = h.refuse()
-		}
-		r.to <- r.v
+		r.to <- h.settled(r, err != nil)
 	}
 	calls := h.begun
 	h.replies, h.begun = h.replies[:0], nil
@@ -145,6 +137,20 @@
 	}
 }
 
+// settled is the answer to a hand-in behind the turn's write. failed: some of the turn were not taken on after all, which the table tells.
+func (h *Host) settled(r heldReply, failed bool) verdict {
+	gone := r.msg != nil && h.table.Get(r.msg.Num) != r.msg
+	switch {
+	case failed && gone:
+		// Guards against answering the same hand-in once more as taken while it is not.
+		return h.refuse()
+	case r.v.taken && !gone:
+		h.logTaken(r.msg)
+		h.journal.Settle(h.table, r.msg)
+	}
+	return r.v
+}
+
 // logTaken names a message that this process owes from now on, so that one can be followed by its id through every process that held it.
 func (h *Host) logTaken(m *memory.Message) {
 	if h.log.Enabled(context.Background(), slog.LevelDebug) {
@@ -199,14 +205,28 @@
 	h.unsent = append(h.unsent, owed{m.Num, m.ID, *m.Owed})
 }
 
+// flushNotices passes on the notices that may go out.
 func (h *Host) flushNotices() {
-	for len(h.unsent) > 0 {
+	wait, wall := h.journal.Pending(), time.Now()
+	var kept []owed
+	for i, n := range h.unsent {
+		if wait && h.mayGoOn(n.num, wall) {
+			kept = append(kept, n)
+			continue
+		}
 		select {
-		case h.notices <- h.unsent[0]:
-			h.unsent = h.unsent[1:]
+		case h.notices <- n:
 		default:
+			h.unsent = append(kept, h.unsent[i:]...)
 			return
 		}
 	}
-	h.unsent = nil
+	h.unsent = kept
+}
+
+// mayGoOn tells whether another life would forward a message that is ended here, were this one killed before the end is in the journal.
+// Guards against a message that is handed back, handed in elsewhere, and then forwarded from here as well.
+func (h *Host) mayGoOn(num uint32, wall time.Time) bool {
+	m := h.table.Get(num)
+	return m != nil && m.Deadline.Sub(wall) > endBefore
 }
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -21,6 +21,7 @@
 	"oatfold/internal/index"
 	"oatfold/internal/plugin"
 	"oatfold/internal/plugin/limits"
+	"oatfold/internal/transient"
 	"oatfold/plugin/abi"
 	"oatfold/policy"
 )
@@ -54,8 +55,8 @@
 // Outcome is what the module is told.
 func (e *StepError) Outcome() policy.Outcome {
 	switch {
-	case errors.Is(e.Err, errHeldBack), errors.Is(e.Err, errCutOff):
-		return policy.Unsent
+	case errors.Is(e.Err, errHeldBack), errors.Is(e.Err, errCutOff), e.Stage == Started && transient.Resource(e.Err):
+		return policy.Unsent // it tells nothing of the endpoint
 	case errors.Is(e.Err, errCutAtOnce):
 		return policy.CutShort
 	case e.NeverRan():
@@ -386,11 +387,25 @@
 	return res
 }
 
+// dialAgain is the pause behind a dial that this machine had no room or no way for.
+const dialAgain = 20 * time.Millisecond
+
+// connect dials within limit. Guards against booking to the endpoint what passes on this machine: it dials again.
 func (c *routeConn) connect(limit time.Duration) (net.Conn, error) {
-	if c.dial != nil {
-		return c.dial(c.ep.addr, limit)
+	dial := c.dial
+	if dial == nil {
+		dial = func(addr string, limit time.Duration) (net.Conn, error) {
+			return (&net.Dialer{Timeout: limit, KeepAlive: -1}).Dial("tcp", addr)
+		}
+	}
+	for by := time.Now().Add(limit); ; {
+		sock, err := dial(c.ep.addr, limit)
+		if limit = time.Until(by); err == nil || !transient.Is(err) || limit <= dialAgain {
+			return sock, err
+		}
+		time.Sleep(dialAgain)
+		limit -= dialAgain
 	}
-	return (&net.Dialer{Timeout: limit, KeepAlive: -1}).Dial("tcp", c.ep.addr)
 }
 
 // leaveStage is how far a planned stop has come.
