Answer a request whose reading panics

Cause: a panic on a client's connection ended it with no answer, although its request had been read. Change: it is answered 500 (failed), where no answer went out before. Measured: TestPanicIsAnswered passes, and has no answer without the change by reading; wire passes.

--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -18,6 +18,24 @@
 	no    uint32 // of the connection
 	began time.Time
 	last  bool // the client sends nothing behind this request
+	over  bool // it was answered
+}
+
+// carry reads and answers one request, and tells whether the connection ends with it, and why. A panic ends this connection only; what was read
+// is answered all the same.
+func (f *Front) carry(x *exchange) (reason closeReason) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		f.log.Error("panic on a client's connection", "panic", p)
+		if reason = closedBad; !x.over {
+			x.last = true
+			x.reply(500, 0, nil)
+		}
+	}()
+	return f.one(x)
 }
 
 // bad ends a connection on which the request could not be read; where the client still listens, it is told.
@@ -44,7 +62,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 202: "Accepted", 400: "Bad Request", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 422: "Unprocessable Content", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 503: "Service Unavailable"}
+	408: "Request Timeout", 413: "Content Too Large", 422: "Unprocessable Content", 500: "Internal Server Error", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 503: "Service Unavailable"}
 
 // reply answers with a status, advice when to come again if there is any, and for a bad request what was wrong. It tells whether the
 // connection ends with this answer, and why: closedByClient where the answer did not get through.
@@ -73,6 +91,7 @@
 	if wrong != nil {
 		text = wrong.Error() + "\n"
 	}
+	x.over = true
 	x.SetWriteDeadline(time.Now().Add(writeLimit))
 	if _, err := x.Write(append(appendLength(b, len(text)), text...)); err != nil {
 		return closedByClient
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -437,7 +437,7 @@
 			readBy = connected.Add(readLimit)
 		}
 		f.begin(c, readBy)
-		if reason := f.one(&exchange{Conn: c.sock, r: r, f: f, no: c.no, began: now}); reason != staysOpen {
+		if reason := f.carry(&exchange{Conn: c.sock, r: r, f: f, no: c.no, began: now}); reason != staysOpen {
 			f.finish(c, r, reason)
 			return
 		}
--- a/internal/wire/front_end_test.go
+++ b/internal/wire/front_end_test.go
@@ -388,3 +388,19 @@
 	check("endpoint", c.sock)
 	c.drop()
 }
+
+// A request that was read is answered also where reading it panics, which nothing is known to do; the next connection is served.
+func TestPanicIsAnswered(t *testing.T) {
+	e := startEnding(t, &heldListener{})
+	e.ends = nil
+	defer e.ln.Close()
+	classes := e.classes.Swap(nil)
+	sock, r := e.dial(t)
+	fmt.Fprint(sock, hand("alert", "m", "", "body", 1000))
+	answered(t, r, 500)
+	closedClean(t, r)
+	e.classes.Store(classes)
+	sock, r = e.dial(t)
+	fmt.Fprint(sock, ready)
+	answered(t, r, 200)
+}
