--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -175,6 +175,9 @@
 	return next, next.launch()
 }
 
+// Launch starts it likewise and waits for nothing.
+func (r *Relay) Launch() error { return r.launch() }
+
 func (r *Relay) launch() error {
 	cmd := exec.Command(r.bin, r.args...)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+r.config, "ROUTER_STATE="+r.State, "ROUTER_ADMIN="+r.Admin)
