Outlast a moment of trouble while taking over, and while reading a body again

Change: these are read again for 5 s (25 s at the start); a message whose body is not at hand is not sent, and goes out later.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"oatfold/internal/admin"
 	"oatfold/internal/daemon/config"
+	"oatfold/internal/daemon/config/operator"
 	"oatfold/internal/drain"
 	"oatfold/internal/figures"
 	"oatfold/internal/handover"
@@ -120,9 +121,13 @@
 	bodies := c.MemoryBytes / bodyShare
 	var plan *sites.Plan
 	if from.Operator != nil {
-		oc, err := from.Operator(c)
+		var oc *operator.Config
+		err := r.starting("operator's file can't be read", func() (err error) {
+			oc, err = from.Operator(c)
+			return err
+		})
 		if err != nil {
-			return fmt.Errorf("operator's file: %w", err)
+			return r.startFailed(fmt.Errorf("operator's file: %w", err))
 		}
 		if oc.Bodies > 0 {
 			bodies = oc.Bodies
@@ -302,7 +307,7 @@
 	r.standby.Store(true)
 	r.log.Info("standing by: another process of this relay serves", "room", r.room.Name)
 	baton := make(chan error, 1)
-	go func() { baton <- r.folder.WaitBaton() }()
+	go func() { baton <- r.starting("the baton can't be waited for", r.folder.WaitBaton) }()
 	for {
 		select {
 		case err := <-baton:
--- a/internal/daemon/inherit.go
+++ b/internal/daemon/inherit.go
@@ -47,7 +47,10 @@
 		if by, claimed := r.Successor(); claimed && unread[by] {
 			err = errSuccessorUnread
 		} else {
-			i.journal, i.table, err = journal.Open(journal.Config{FS: journal.Dir(r.Path), Budget: h.disk() - h.folder.Used(r), Dates: h.folder.Dates(), Log: h.log, Inline: true})
+			err = h.patiently("a room can't be read", func() (err error) {
+				i.journal, i.table, err = journal.Open(journal.Config{FS: journal.Dir(r.Path), Budget: h.disk() - h.folder.Used(r), Dates: h.folder.Dates(), Log: h.log, Inline: true})
+				return err
+			})
 		}
 		if err != nil {
 			unread[r.Name] = true
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -28,10 +28,25 @@
 	latest map[string]string // by process: the file that it gave last. It stays, without messages, for a process that has to start anew
 }
 
+// takePatience is for how long something that can't be read is tried again: what it holds is owed.
+const takePatience = 5 * time.Second
+
+func (h *successor) patiently(what string, step func() error) error {
+	return patiently(what, takePatience, func() bool { return h.ctx.Err() != nil }, h.log, step)
+}
+
 // take takes over what is there, and tells whether a process is still leaving.
 func (h *successor) take() (leaving bool) {
 	h.host.LookBegins()
-	held, fallen, err := h.folder.Others(h.room)
+	var held []string
+	var fallen []*rooms.Room
+	err := h.patiently("rooms of other processes can't be looked at", func() (err error) {
+		for _, f := range fallen {
+			h.folder.Leave(f, false) // of a look that failed half way
+		}
+		held, fallen, err = h.folder.Others(h.room)
+		return err
+	})
 	if err != nil {
 		h.log.Error("rooms of other processes not looked at", "err", err)
 	}
@@ -112,7 +127,11 @@
 		}
 		var msgs []*memory.Message
 		var news *handover.News
-		raw, err := h.folder.Read(name)
+		var raw []byte
+		err := h.patiently("a given file can't be read", func() (err error) {
+			raw, err = h.folder.Read(name)
+			return err
+		})
 		if err == nil {
 			var text []byte
 			if msgs, text, err = journal.Given(raw, h.folder.Dates()); err == nil {
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"os"
+	"path/filepath"
+	"sync"
 	"testing"
+	"time"
 
 	"oatfold/internal/clock"
 	"oatfold/internal/daemon/config"
@@ -110,3 +114,42 @@
 		t.Errorf("%v stay at the end", owes)
 	}
 }
+
+// Found by reading: a given file, or a room, that could not be read for a moment was left for good, and what it held was lost for this life.
+func TestTakingOverOutlastsAMomentOfTrouble(t *testing.T) {
+	dir := t.TempDir()
+	account{successor: "-"}.leave(t, dir, "")
+	old, err := rooms.Open(dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := &memory.Message{Num: 3, ID: "given", Class: "fee", Dest: 1, Body: []byte("x"), Deadline: time.Now().Add(time.Hour)}
+	if err := old.Give(journal.Give([]*memory.Message{other}, (&handover.News{}).Encode(), clock.Scale{})); err != nil {
+		t.Fatal(err)
+	}
+	segments, _ := filepath.Glob(filepath.Join(dir, "*.seg"))
+	given, _ := filepath.Glob(filepath.Join(dir, "spool", "*.give"))
+	h := startSuccessor(t, dir)
+	for _, path := range append(segments, given...) {
+		if err := os.Rename(path, path+".away"); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Symlink("/proc/self/mem", path); err != nil { // reading it fails with EIO
+			t.Fatal(err)
+		}
+	}
+	var tried sync.WaitGroup
+	tried.Go(func() {
+		for _, path := range append(segments, given...) { // well again, in one step
+			time.Sleep(30 * time.Millisecond)
+			if err := os.Rename(path+".away", path); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	h.take()
+	tried.Wait()
+	if held, _ := h.host.Load(); held != 2 || len(h.bad) > 0 {
+		t.Errorf("%d of 2 messages are taken over, files left: %v", held, h.bad)
+	}
+}
--- a/internal/wire/dial_test.go
+++ b/internal/wire/dial_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/memory/journal"
 	"oatfold/policy"
 )
 
@@ -41,3 +43,19 @@
 		}
 	}
 }
+
+// Found by reading: a message whose body is in the journal only was ended where that could not be read for a moment. It is not sent, and goes
+// out later; where the body is lost it ends.
+func TestBodyThatCannotBeReadNow(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		ends bool
+	}{{syscall.EIO, false}, {syscall.EMFILE, false}, {journal.ErrBody, true}} {
+		conn := &routeConn{ep: &endpoint{gate: &gate{}}}
+		load := func() ([]byte, error) { return nil, fmt.Errorf("body: %w", c.err) }
+		res := conn.carry(&call{ep: conn.ep, items: []item{{id: "m", load: load}}, deadline: time.Now().Add(time.Minute)})
+		if got := res.ends[0]; got.outcome != policy.Unsent || (got.then != nil) != c.ends {
+			t.Errorf("%v: %+v", c.err, got)
+		}
+	}
+}
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -157,7 +157,7 @@
 	then    *then                  // a plug-in failed it: it does not go out
 	until   policy.Time            // when its own time is up
 	by      time.Time              // when it may be written at the latest, on the wall; zero: at any time
-	late    bool                   // it is up, or nearly, before the call could be written: it does not go out
+	late    bool                   // it is up, or nearly, before the call could be written, or its body is not at hand: it does not go out
 	expiry  *index.Entry[expiry]   // of that time, where the call goes on beyond it
 	ended   bool                   // its end was told to the module
 	anew    bool                   // the module started anew since: it is told of the message instead
@@ -434,9 +434,17 @@
 			continue
 		}
 		var bad error
-		if it.body, bad = it.load(); bad != nil {
-			err, it.then = fmt.Errorf("%s: %w", it.id, bad), &then{limits.Refuse}
+		if it.body, bad = it.load(); bad == nil {
+			continue
+		}
+		err = fmt.Errorf("%s: %w", it.id, bad)
+		if transient.Is(bad) {
+			// Guards against ending a message whose body a disk in trouble does not give now: it goes out later.
+			it.late = true
+			time.Sleep(dialAgain)
+			continue
 		}
+		it.then = &then{limits.Refuse}
 	}
 	return err
 }
