--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -12,13 +12,15 @@
 // crossed is how long a call and a notice may cross one another on their ways, on a busy machine.
 const crossed = 400 * time.Millisecond
 
+// A notice is due 300 ms behind its message's time, and 50 ms more; the rest is for a busy machine, and for what a slow platform takes.
+const overdue = 350*time.Millisecond + 650*time.Millisecond
+
 // events are what the outside saw of messages, by id.
 type events struct {
 	mu     sync.Mutex
 	called map[string][]time.Time
 	ended  map[string]time.Time // first notices
 	how    map[string]string
-	readys []time.Time
 }
 
 func newEvents() *events {
@@ -44,12 +46,6 @@
 	}
 }
 
-func (e *events) ready() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.readys = append(e.readys, time.Now())
-}
-
 // audit holds what clients heard against what the outside saw.
 func (d *day) audit() {
 	delivered := func() map[string]bool {
@@ -75,7 +71,7 @@
 			d.fail("taken on and never ended: %v", r)
 		}
 	}
-	counts := map[string]int{}
+	counts, latest := map[string]int{}, time.Duration(0)
 	d.events.mu.Lock()
 	for _, r := range d.clients.sent {
 		calls, how := d.events.called[r.id], d.events.how[r.id]
@@ -95,6 +91,15 @@
 		if end, told := d.events.ended[r.id]; told && slices.ContainsFunc(calls, func(at time.Time) bool { return at.After(end.Add(crossed)) }) {
 			d.fail("forwarded after its end (%s): %v", how, r)
 		}
+		if end, told := d.events.ended[r.id]; told && r.end == answered && r.status == 202 {
+			due := r.at.Add(r.left)
+			away := d.excused(r.relay, due) || d.excused(r.relay, due.Add(overdue))
+			if late := end.Sub(due); !away {
+				if latest = max(latest, late); late > overdue {
+					d.fail("its notice came %v behind its time: %v", late, r)
+				}
+			}
+		}
 		if r.class == "fee-charge" && how == "handed_back" && len(calls) > 0 && r.end == answered && delivered()[r.id] {
 			d.fail("handed back and run: %v", r)
 		}
@@ -103,7 +108,7 @@
 	for _, double := range d.world.Ledger.Doubles("fee-charge") {
 		d.fail("a charge ran twice: %s", double)
 	}
-	d.t.Logf("%d requests: %v; %d planned stops, %d of them killed", len(d.clients.sent), counts, d.planned, d.late)
+	d.t.Logf("%d requests: %v; latest notice %v behind its time; %d planned stops, %d of them killed", len(d.clients.sent), counts, latest.Round(time.Millisecond), d.planned, d.late)
 	if counts["202"] < len(d.clients.sent)/10 {
 		d.fail("only %d of %d were taken on", counts["202"], len(d.clients.sent))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -32,6 +33,7 @@
 	killBehind  = 3700 * time.Millisecond // SIGTERM: the earliest kill
 	startBehind = 600 * time.Millisecond  // the kill: the next start
 	readyBy     = 10 * time.Second
+	readyGrace  = 1500 * time.Millisecond // behind which notices are due again
 )
 
 var program = sync.OnceValues(func() (string, error) {
@@ -50,6 +52,9 @@
 	os.Exit(code)
 }
 
+// span is a stretch of time.
+type span struct{ from, to time.Time }
+
 // day is one seed's day.
 type day struct {
 	t       *testing.T
@@ -64,8 +69,9 @@
 	faults  []string // broken rules
 	told    []string // what was done, in order
 	began   time.Time
-	planned int // stops
-	late    int // of these, still there when they were killed
+	away    [][]span // of each relay: down or short of descriptors, when no notice is overdue
+	planned int      // stops
+	late    int      // of these, still there when they were killed
 }
 
 func (d *day) life(relay int) int {
@@ -112,7 +118,7 @@
 }
 
 func play(t *testing.T, seed uint64) {
-	d := &day{t: t, lives: make([]int, fleet), dead: make([]int, fleet), began: time.Now(), events: newEvents()}
+	d := &day{t: t, lives: make([]int, fleet), away: make([][]span, fleet), dead: make([]int, fleet), began: time.Now(), events: newEvents()}
 	random := rand.New(rand.NewPCG(seed, 41))
 	set := standin.Config{Seed: seed, Slots: 8, Hold: 60 + random.IntN(100), Sockets: 192, Relays: fleet}
 	for n := range dests {
@@ -145,6 +151,7 @@
 		troubles.Go(func() { d.relayTroubles(own, relay) })
 	}
 	troubles.Go(func() { d.partnerTroubles(rand.New(rand.NewPCG(seed, 2000))) })
+	troubles.Go(func() { d.platformTroubles(rand.New(rand.NewPCG(seed, 4000))) })
 	troubles.Go(func() { d.crowds(rand.New(rand.NewPCG(seed, 3000))) })
 	troubles.Wait()
 	for _, p := range d.world.Partners {
@@ -157,6 +164,20 @@
 	d.audit()
 }
 
+// excuse notes that since then, and for some time from now on, no notice of a relay is overdue.
+func (d *day) excuse(relay int, since time.Time, more time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away[relay] = append(d.away[relay], span{since, time.Now().Add(more)})
+}
+
+// excused tells whether a relay was away at that time.
+func (d *day) excused(relay int, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.away[relay], func(s span) bool { return !at.Before(s.from) && at.Before(s.to) })
+}
+
 func (d *day) over() bool { return time.Since(d.began) > lasts }
 
 // relayTroubles does to one relay what the seed draws, one thing after another.
@@ -164,24 +185,51 @@
 	r := d.relays[relay]
 	for !d.over() {
 		time.Sleep(time.Duration(200+random.IntN(1300)) * time.Millisecond)
-		switch random.IntN(6) {
+		switch random.IntN(9) {
 		case 0:
 			d.restart(random, relay, true)
 		case 1, 2:
 			d.restart(random, relay, false)
 		case 3:
-			d.limit(r, "file size", unix.RLIMIT_FSIZE, uint64(random.IntN(2)*4096), time.Duration(100+random.IntN(700))*time.Millisecond)
+			d.limit(relay, "file size", unix.RLIMIT_FSIZE, uint64(random.IntN(2)*4096), time.Duration(100+random.IntN(700))*time.Millisecond)
 		case 4:
-			d.limit(r, "descriptors", unix.RLIMIT_NOFILE, uint64(3+random.IntN(20)), time.Duration(100+random.IntN(500))*time.Millisecond)
+			d.limit(relay, "descriptors", unix.RLIMIT_NOFILE, uint64(3+random.IntN(20)), time.Duration(100+random.IntN(500))*time.Millisecond)
 		case 5:
 			d.tell("relay %d: SIGHUP", relay)
 			r.Signal(syscall.SIGHUP)
+		default:
+			d.pause(random, relay)
 		}
 	}
 }
 
+// pause holds a relay up, for up to 0.15 s each time.
+func (d *day) pause(random *rand.Rand, relay int) {
+	d.tell("relay %d: held up", relay)
+	for range 1 + random.IntN(4) {
+		d.relays[relay].Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(20+random.IntN(130)) * time.Millisecond)
+		d.relays[relay].Signal(syscall.SIGCONT)
+		time.Sleep(time.Duration(10+random.IntN(200)) * time.Millisecond)
+	}
+}
+
+// platformTroubles has the platform take longer for notices at times.
+func (d *day) platformTroubles(random *rand.Rand) {
+	for !d.over() {
+		time.Sleep(time.Duration(300+random.IntN(2000)) * time.Millisecond)
+		slow := time.Duration(random.IntN(200)) * time.Millisecond
+		d.tell("notices take %v", slow)
+		d.world.Platform.Slow(slow)
+		time.Sleep(time.Duration(300+random.IntN(1500)) * time.Millisecond)
+		d.world.Platform.Slow(0)
+	}
+}
+
 // limit has system calls of a relay fail for a while: writes to its folder, or whatever takes a descriptor.
-func (d *day) limit(r *standin.Relay, what string, resource int, to uint64, long time.Duration) {
+func (d *day) limit(relay int, what string, resource int, to uint64, long time.Duration) {
+	r, began := d.relays[relay], time.Now()
+	defer func() { d.excuse(relay, began, readyGrace) }()
 	var was unix.Rlimit
 	if err := unix.Prlimit(r.Pid(), resource, nil, &was); err != nil {
 		d.t.Error(err)
@@ -202,6 +250,8 @@
 // restart ends a relay and starts it again, at the earliest of what is allowed each time; outright: without a word.
 func (d *day) restart(random *rand.Rand, relay int, outright bool) {
 	r := d.relays[relay]
+	began := time.Now()
+	defer func() { d.excuse(relay, began, readyGrace) }()
 	if !outright {
 		signals := series[random.IntN(len(series))]
 		d.tell("relay %d: %v", relay, signals)
@@ -241,15 +291,14 @@
 		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond) // killed in its start
 		d.kill(relay)
 	}
-	began := time.Now()
+	launched := time.Now()
 	if err := r.Await("msg=ready"); err != nil {
 		d.fail("relay %d: %v", relay, err)
 		return
 	}
-	if took := time.Since(began); took > readyBy {
+	if took := time.Since(launched); took > readyBy {
 		d.fail("relay %d was ready only after %v", relay, took)
 	}
-	d.events.ready()
 }
 
 func (d *day) begin(relay int) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -42,6 +44,7 @@
 	notices    []Notice
 	watch      func(Notice)
 	silent     chan struct{} // not nil: nothing is answered until it is closed
+	slow       time.Duration // that a notice takes
 	news       *news
 	server     *http.Server
 	end        chan struct{}
@@ -179,10 +182,29 @@
 	json.NewEncoder(w).Encode(out)
 }
 
+// Slow has the platform take so long for each notice. One whose sender goes away meanwhile is not taken.
+func (p *Platform) Slow(d time.Duration) {
+	p.mu.Lock()
+	p.slow = d
+	p.mu.Unlock()
+}
+
 func (p *Platform) notice(w http.ResponseWriter, r *http.Request) {
 	p.hush()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	slow := p.slow
+	p.mu.Unlock()
+	select {
+	case <-time.After(slow):
+	case <-r.Context().Done():
+		return
+	}
 	var got []Notice
-	for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+	for lines := bufio.NewScanner(bytes.NewReader(body)); lines.Scan(); {
 		var n Notice
 		if json.Unmarshal(lines.Bytes(), &n) != nil || n.Message == "" || n.Outcome != "given_up" && n.Outcome != "handed_back" {
 			w.WriteHeader(400)
