--- a/internal/wire/connection.go
+++ b/internal/wire/connection.go
@@ -178,7 +178,9 @@
 		awaitClose(c.sock)
 		return
 	}
-	io.CopyN(io.Discard, r, lingerBytes)
+	if n, _ := io.CopyN(io.Discard, r, lingerBytes); n > 0 {
+		f.log.Debug("bytes of a client read away behind the end of its connection", "connection", c.no, "reason", reason, "bytes", n)
+	}
 }
 
 // awaitClose waits until the other side has closed, without reading what it sends, or until the read deadline.
