--- a/internal/wire/front_end_test.go
+++ b/internal/wire/front_end_test.go
@@ -404,3 +404,49 @@
 	fmt.Fprint(sock, ready)
 	answered(t, r, 200)
 }
+
+// failingListener fails some accepts before it takes the next connection.
+type failingListener struct {
+	*net.TCPListener
+	errs chan error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	select {
+	case err := <-l.errs:
+		return nil, &net.OpError{Op: "accept", Err: err}
+	default:
+		return l.TCPListener.Accept()
+	}
+}
+
+// The accept loop outlasts every error that Linux documents for a moment, also while the accept queue is emptied.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	set := &policy.Settings{Classes: []policy.Class{{Name: "alert", Deadline: time.Minute}}}
+	for _, emptying := range []bool{false, true} {
+		ln := &failingListener{listen(t).(*net.TCPListener), make(chan error, 9)}
+		for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR, syscall.EPROTO} {
+			ln.errs <- errno
+		}
+		f := NewFront(ln, set, 10, make(chan any, 9), quiet)
+		f.Turn(drain.Started)
+		sock, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(sock, ready)
+		if emptying {
+			f.mu.Lock()
+			f.empty()
+			f.mu.Unlock()
+		}
+		go f.Serve()
+		sock.SetDeadline(time.Now().Add(20 * time.Second))
+		answered(t, bufio.NewReader(sock), 200)
+		sock.Close()
+		if emptying {
+			waitFor(t, "the listener to close", func() bool { return !f.Accepting() })
+		}
+		ln.Close()
+	}
+}
--- a/internal/wire/route.go
+++ b/internal/wire/route.go
@@ -16,7 +16,6 @@
 
 	"github.com/tidwall/gjson"
 
-	"oatfold/internal/clock"
 	"oatfold/internal/figures"
 	"oatfold/internal/index"
 	"oatfold/internal/plugin"
@@ -26,124 +25,6 @@
 	"oatfold/policy"
 )
 
-// Stage is how far a route step had come.
-type Stage int
-
-// The stages of a route step.
-const (
-	Started  Stage = iota // no connection yet
-	Dialled               // the connection is up, the last byte is not written
-	Written               // the last byte is written: from here on the call may have run
-	Answered              // the first line of the answer was read
-)
-
-// StepError is the end of a route step without an answer. What it means for a repeat follows from the stage.
-type StepError struct {
-	Stage Stage
-	Err   error
-}
-
-func (e *StepError) Error() string {
-	return fmt.Sprintf("%s: %v", [...]string{"not dialled", "dialled", "written", "answered"}[e.Stage], e.Err)
-}
-
-func (e *StepError) Unwrap() error { return e.Err }
-
-// NeverRan tells whether the error proves that the endpoint has not run the call.
-func (e *StepError) NeverRan() bool { return e.Stage < Written }
-
-// Outcome is what the module is told.
-func (e *StepError) Outcome() policy.Outcome {
-	switch {
-	case errors.Is(e.Err, errHeldBack), errors.Is(e.Err, errCutOff), e.Stage == Started && transient.Resource(e.Err):
-		return policy.Unsent // it tells nothing of the endpoint
-	case errors.Is(e.Err, errCutAtOnce):
-		return policy.CutShort
-	case e.NeverRan():
-		return policy.ConnectFailed
-	case e.Stage == Answered, spoilt(e.Err):
-		// An answer came, but it tells nothing: unlike a lost one it says nothing against idle connections.
-		return policy.Errored
-	case errors.Is(e.Err, os.ErrDeadlineExceeded):
-		return policy.TimedOut
-	}
-	return policy.Broken
-}
-
-// spoilt tells whether the bytes that came were no answer.
-func spoilt(err error) bool {
-	for _, e := range []error{errLine, errHeader, errLength, errTooLong, errHead, errInterim} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
-// errHeldBack ends a call whose destination told a wait, or whose endpoint was drained, while it was dialled.
-var errHeldBack = errors.New("destination may not be sent to now")
-
-// errCutOff ends a call whose connection spoke before the last byte was written, or ended so and had served other calls. It tells of
-// that connection, not of the endpoint's health.
-var errCutOff = errors.New("connection cut before the last byte")
-
-// errCutAtOnce ends a call whose new connection ended before the last byte was written: nothing gets through to the endpoint.
-var errCutAtOnce = errors.New("new connection cut before the last byte")
-
-// cutOff names what a connection's end, or first byte, before the last byte of a call tells. err is nil where the endpoint spoke.
-// Risk: an endpoint that takes connections and resets each uses up all attempts of a charge within a moment, and is never taken for out.
-func (c *routeConn) cutOff(err error) error {
-	if err != nil && c.answered.IsZero() {
-		return errCutAtOnce
-	}
-	return errCutOff
-}
-
-// errTableFull ends a call whose endpoint holds as many connections as it can.
-var errTableFull = errors.New("endpoint takes no further connection")
-
-// tableFull tells whether an answer, the first on its connection, says that the endpoint takes no more of them: it turns the call away,
-// tells no wait and closes. Risk: taken for a refusal above the limit, it lengthens the slot, while the relays that hold idle
-// connections keep the endpoint to themselves.
-func tableFull(a *answer) bool {
-	return a.status == 503 && !a.keep && a.get("Wait-Ms") == "" && a.get("Slots-Taken") == ""
-}
-
-// gate is what the connections of a destination share: until when it must not be sent to. That is kept on the monotonic clock: a wait
-// is a span, and a step of the wall clock would open the gate or keep it shut.
-type gate struct{ until atomic.Int64 } // as clock.Since
-
-// hold closes the gate for at least d from now on.
-func (g *gate) hold(d time.Duration) {
-	for end := int64(clock.Since() + d); ; {
-		was := g.until.Load()
-		if was >= end || g.until.CompareAndSwap(was, end) {
-			return
-		}
-	}
-}
-
-// left is for how long the gate stays closed; negative once it is open.
-func (g *gate) left() time.Duration { return time.Duration(g.until.Load()) - clock.Since() }
-
-func (g *gate) closed() bool { return g.left() > 0 }
-
-// endpoint is where a member of the pool config is reached. The state is read by its connections.
-type endpoint struct {
-	id, addr string
-	dest     int
-	zone     string
-	rate     float64
-	state    atomic.Int32 // policy.EndpointState
-	gate     *gate
-	idle     []*routeConn // last used last
-}
-
-// shut tells whether nothing may be written to the endpoint now: a wait was told, or it is drained or gone.
-func (ep *endpoint) shut() bool {
-	return ep.gate.closed() || policy.EndpointState(ep.state.Load()) != policy.Listed
-}
-
 // item is one message of a call.
 type item struct {
 	num     uint32
