Judge a fleet's timeline in the order in which it came, not by dates

Cause: the checker sorted lines of several processes by their dates; with a stepped wall clock a relay's own lines changed places, and an incarnation seemed to go back. The relays were right. Change: it judges in the order of arrival, and sorts for showing only.

--- a/internal/lab/fleet/finish.go
+++ b/internal/lab/fleet/finish.go
@@ -62,8 +62,9 @@
 		})
 	}
 	all.Wait()
-	slices.SortStableFunc(seen, func(a, b Seen) int { return int(a.AtMs - b.AtMs) })
+	// In the order of arrival, which is each relay's own: dates of several processes don't give it where a wall clock is stepped.
 	res.Verdict = judgeMembers(r.day, seen)
+	slices.SortStableFunc(seen, func(a, b Seen) int { return int(a.AtMs - b.AtMs) })
 	for n := range r.down {
 		res.Verdict.Gone = append(res.Verdict.Gone, n)
 	}
