--- a/cmd/oatfold/notices_test.go
+++ b/cmd/oatfold/notices_test.go
@@ -11,7 +11,7 @@
 // relay gives that request up, closes its connection, and sends the same on a new one, again and again. An agent that lets go of
 // what its client has left never takes any of them.
 //
-// Evidence: one line of a replay, "notices fail and are tried again ... i/o timeout", where all other runs have none; and here, an
+// Evidence: one line in a relay's log of the run that failed, played again, "notices fail and are tried again ... i/o timeout", where all other runs have none; and here, an
 // agent that takes 250 ms and each time finds the connection closed.
 //
 // Cause: a retry that cancels the attempt before it, with a time-out shorter than the other side may take.
