Leave an ending connection its time when a drain begins; a stop ends a take-over's patience

Cause (by reading, then a test): a drain set the read deadline of connections that were already ending into the past, so that a reset could overtake their last answer. Change: it ends resting and silent ones only. A successor that is told to stop does not go on trying.

--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -528,7 +528,12 @@
 
 func upgradeFull(t *testing.T, leave func(*standin.Relay) error) {
 	const budget = 300_000
-	w, r := world(t, standin.Config{DiskMB: budget / 1e6, Hold: 400, Partners: []standin.PartnerConfig{{Dest: 7}}})
+	// A destination that refused connections is tried again some 11 s later, on a busy machine 17 s: messages outlast that.
+	classes := slices.Clone(standin.Classes)
+	for i := range classes {
+		classes[i].Deadline = time.Minute
+	}
+	w, r := world(t, standin.Config{DiskMB: budget / 1e6, Hold: 400, Classes: classes, Partners: []standin.PartnerConfig{{Dest: 7}}})
 	w.Partners[7].Set(standin.Refusing, 1)
 	taken := map[string]client.Result{}
 	refused := false
@@ -539,7 +544,7 @@
 		}
 		class := []string{"fee-charge", "order-relay"}[n%2] // no charge is the first into a destination that was out
 		name := fmt.Sprint(class, "/", n)
-		res, _ := c.Send(context.Background(), client.Message{Class: class, Dest: 7, TimeLeft: 19 * time.Second, Body: fmt.Appendf(nil, "%s\n%02000d", name, 0)})
+		res, _ := c.Send(context.Background(), client.Message{Class: class, Dest: 7, TimeLeft: 59 * time.Second, Body: fmt.Appendf(nil, "%s\n%02000d", name, 0)})
 		if c.Close(); res.Outcome == client.Taken {
 			taken[name] = res
 		}
@@ -580,7 +585,7 @@
 		t.Fatalf("%v\n%s", err, next.Log())
 	}
 	if d := w.Ledger.Doubles("fee-charge"); len(d) > 0 || len(taken) < 10 || w.Ledger.Len() < len(taken)/2 {
-		t.Errorf("%d taken, %d ran, doubles %v", len(taken), w.Ledger.Len(), d)
+		t.Errorf("%d taken, %d ran, doubles %v\n%s", len(taken), w.Ledger.Len(), d, next.Log())
 	}
 	if n := size(); n > budget {
 		t.Errorf("at the end the folder holds %d bytes", n)
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -32,7 +32,7 @@
 const takePatience = 5 * time.Second
 
 func (h *successor) patiently(what string, step func() error) error {
-	return patiently(what, takePatience, func() bool { return h.ctx.Err() != nil }, h.log, step)
+	return patiently(what, takePatience, func() bool { return h.ctx.Err() != nil || len(h.terminate) > 0 }, h.log, step)
 }
 
 // take takes over what is there, and tells whether a process is still leaving.
--- a/internal/wire/front.go
+++ b/internal/wire/front.go
@@ -226,7 +226,7 @@
 	}
 	if v.Idle && !was.Idle {
 		for c := range f.conns {
-			if c.state != frontBusy {
+			if c.state == frontNew || c.state == frontIdle { // one that is ending has its time to read its answer
 				c.sock.SetReadDeadline(time.Unix(1, 0))
 			}
 		}
--- a/internal/wire/front_end_test.go
+++ b/internal/wire/front_end_test.go
@@ -27,8 +27,14 @@
 
 type heldConn struct {
 	*net.TCPConn
-	read chan struct{}
-	got  *atomic.Int64
+	read  chan struct{}
+	got   *atomic.Int64
+	until atomic.Int64 // the read deadline, in microseconds
+}
+
+func (c *heldConn) SetReadDeadline(at time.Time) error {
+	c.until.Store(at.UnixMicro())
+	return c.TCPConn.SetReadDeadline(at)
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -39,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &heldConn{sock.(*net.TCPConn), l.read, &l.got}, nil
+	return &heldConn{TCPConn: sock.(*net.TCPConn), read: l.read, got: &l.got}, nil
 }
 
 func (c *heldConn) Read(b []byte) (int, error) {
@@ -450,3 +456,32 @@
 		ln.Close()
 	}
 }
+
+// Found by reading: a drain that began as a connection was ending cut the time short that its client has to read its last answer, which a
+// reset over further bytes could then overtake. It ends resting and silent connections only.
+func TestDrainLeavesAnEndingConnectionItsTime(t *testing.T) {
+	e := startEnding(t, &heldListener{})
+	defer e.ln.Close()
+	sock, r := e.dial(t)
+	e.Turn(drain.Fail) // answers close their connections; resting ones have a second left
+	fmt.Fprint(sock, ready)
+	answered(t, r, 503)
+	e.step(t, endDecided)
+	e.goOn <- struct{}{}
+	e.step(t, endSaid)
+	e.mu.Lock()
+	var conn *heldConn
+	for c := range e.conns {
+		conn = c.sock.(*heldConn)
+	}
+	e.mu.Unlock()
+	before := conn.until.Load()
+	e.Drain()
+	if after := conn.until.Load(); after != before {
+		t.Errorf("the drain set the read deadline of an ending connection to %v", time.UnixMicro(after))
+	}
+	e.goOn <- struct{}{}
+	sock.Close()
+	e.step(t, endClosed)
+	e.goOn <- struct{}{}
+}
