--- a/internal/wire/peek.go
+++ b/internal/wire/peek.go
@@ -35,12 +35,16 @@
 	return n, err
 }
 
+// peekTries bounds how often a peek is made that signals interrupt.
+const peekTries = 8
+
 // peekAt asks again after a signal: this read is outside the runtime's poller, which does so for all others.
 func peekAt(fd int) (n int, err error) {
-	for {
+	for range peekTries {
 		var b [1]byte
 		if n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err != syscall.EINTR {
-			return max(n, 0), err
+			break
 		}
 	}
+	return max(n, 0), err
 }
