Review: case 3, cleaning a large segment takes the folder over disk_mb

Clumps of large messages make segments of up to 1.2 MB; the copy that cleaning makes is not covered by the room kept free.

--- a/review/rig/disk.go
+++ b/review/rig/disk.go
@@ -2,87 +2,71 @@
 
 import (
 	"fmt"
-	"io/fs"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // diskWatch sums up the files of a state folder, over and over.
 type diskWatch struct {
-	dir     string
-	limit   int64
-	sweeps  int
-	over    int // sweeps that found more than the limit
-	most    int64
-	mostAt  time.Time
-	biggest int64 // file
-	copies  int64 // largest temporary file
-	last    int64
-	listing string
-	stop    atomic.Bool
-	done    chan struct{}
+	dir    string
+	limit  int64
+	sweeps int
+	over   int // sweeps that found more than the limit
+	most   int64
+	mostAt time.Time
+	files  string // the larger files of that sweep
+	stop   atomic.Bool
+	done   chan struct{}
 }
 
 func watchDisk(dir string, limit int64) *diskWatch {
 	w := &diskWatch{dir: dir, limit: limit, done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
-		for i := 0; !w.stop.Load(); i++ {
-			if i%64 == 0 {
-				w.sweep()
-			}
-			d, err := os.Open(w.dir)
-			if err != nil {
-				continue
-			}
-			names, _ := d.Readdirnames(-1)
-			d.Close()
-			for _, n := range names {
-				if filepath.Ext(n) == ".tmp" {
-					if info, err := os.Lstat(filepath.Join(w.dir, n)); err == nil && info.Size() > w.copies {
-						w.copies = info.Size()
-						fmt.Println("copy", n, info.Size(), "last sum", w.last)
-					}
-				}
-			}
+		for !w.stop.Load() {
+			w.sweep()
 		}
 	}()
 	return w
 }
 
-// sweep adds up all files once, each in whole 512 bytes. A file that is renamed meanwhile is counted
-// under its old or its new name with no more bytes than both had.
+// sweep adds up the files of the folder once, each in whole 512 bytes. Temporary files come first: a
+// file that is renamed meanwhile is then counted with no more bytes than the two names had before.
 func (w *diskWatch) sweep() {
+	d, err := os.Open(w.dir)
+	if err != nil {
+		return
+	}
+	defer d.Close()
+	names, _ := d.Readdirnames(-1)
 	var sum int64
-	listing := ""
-	filepath.WalkDir(w.dir, func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() {
-			return nil
-		}
-		var info os.FileInfo
-		if info, err = os.Lstat(path); err != nil {
-			return nil
-		}
-		bytes := (info.Size() + 511) / 512 * 512
-		sum += bytes
-		if w.biggest = max(w.biggest, bytes); filepath.Ext(path) == ".tmp" {
-			w.copies = max(w.copies, bytes)
+	sizes := map[string]int64{}
+	for _, temporary := range []bool{true, false} {
+		for _, name := range names {
+			if (len(name) > 4 && name[len(name)-4:] == ".tmp") != temporary {
+				continue
+			}
+			var info unix.Stat_t
+			if unix.Fstatat(int(d.Fd()), name, &info, unix.AT_SYMLINK_NOFOLLOW) != nil || info.Mode&unix.S_IFMT != unix.S_IFREG {
+				continue
+			}
+			bytes := (info.Size + 511) / 512 * 512
+			if sum += bytes; bytes > 100_000 {
+				sizes[name] = bytes
+			}
 		}
-		listing += fmt.Sprintf(" %s=%d", filepath.Base(path), bytes)
-		return nil
-	})
+	}
 	w.sweeps++
-	w.last = sum
 	if sum > w.limit {
 		w.over++
 	}
 	if sum > w.most {
-		w.most, w.mostAt, w.listing = sum, time.Now(), listing
+		w.most, w.mostAt, w.files = sum, time.Now(), fmt.Sprint(len(names), " files, the largest ", sizes)
 	}
 }
 
@@ -91,30 +75,31 @@
 	<-w.done
 }
 
-// diskCase: a partner goes silent while large orders come in.
+// diskCase: large messages come in clumps. Each round is a run of its own, with an empty folder.
 func diskCase(p *play) (bool, error) {
-	const silentFrom, silentFor, length = 4 * time.Second, 16 * time.Second, 40 * time.Second
-	begin := time.Now()
-	silent := func() bool {
-		t := time.Since(begin)
-		return p.trouble && t >= silentFrom && t < silentFrom+silentFor
+	broken := false
+	for round := range 16 {
+		over, err := diskRound(p, round)
+		if err != nil {
+			return false, err
+		}
+		broken = broken || over
 	}
-	const partners = 8
+	return broken, nil
+}
+
+func diskRound(p *play, round int) (bool, error) {
+	const (
+		partners, length = 8, 4 * time.Second
+		limit            = 3 << 20 // the larger meaning of 3 MB
+	)
 	var list []instance
-	var all []*partner
 	for i := range partners {
-		service := func([]string) (time.Duration, int, time.Duration) {
-			if i == 0 && silent() {
-				return 0, 0, 0
-			}
-			return time.Duration(130+rand.IntN(100)) * time.Millisecond, 200, 0
-		}
-		pt, err := newPartner(p.rec, fmt.Sprintf("e%d", i), service, nil)
+		pt, err := newPartner(p.rec, fmt.Sprintf("e%d", i), usual, nil)
 		if err != nil {
 			return false, err
 		}
 		defer pt.close()
-		all = append(all, pt)
 		kind := "small-partner"
 		if i < 3 {
 			kind = "broker"
@@ -127,7 +112,7 @@
 		return false, err
 	}
 	defer plat.close()
-	r, err := newRelay(p.root, p.dir, "n0", plat.addr, list, settings())
+	r, err := newRelay(p.root, p.dir, fmt.Sprintf("n%d", round), plat.addr, list, settings())
 	if err != nil {
 		return false, err
 	}
@@ -135,73 +120,59 @@
 	if err != nil {
 		return false, err
 	}
-	begin = time.Now()
-	const limit = 3 << 20 // the larger meaning of 3 MB
+	defer proc.kill()
 	w := watchDisk(r.state, limit)
 	c := &clients{addr: r.listen, rec: p.rec}
+	defer c.close()
 	var wg sync.WaitGroup
-	var sent, refused atomic.Int64
-	send := func(dest int, class string, size int) {
+	var taken, refused atomic.Int64
+	send := func(dest int) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			m := &message{id: fmt.Sprintf("%016x", rand.Uint64()), class: class, dest: dest, left: 20 * time.Second,
-				body: make([]byte, size)}
-			if class == "price-alert" {
-				m.left = 6 * time.Second
-			} else {
-				m.key = fmt.Sprintf("%032x", rand.Uint64())
+			m := &message{id: fmt.Sprintf("%016x", rand.Uint64()), dest: dest, left: 20 * time.Second, body: make([]byte, 60_000+rand.IntN(5_000))}
+			switch x := rand.Float64(); {
+			case x < 0.43:
+				m.class, m.left = "price-alert", 6*time.Second
+			case x < 0.81:
+				m.class, m.key = "order-relay", fmt.Sprintf("%032x", rand.Uint64())
+			default:
+				m.class, m.key = "fee-charge", fmt.Sprintf("%032x", rand.Uint64())
 			}
-			if status := c.handIn(m); status == 202 {
-				sent.Add(1)
+			if c.handIn(m) == 202 {
+				taken.Add(1)
 			} else {
 				refused.Add(1)
 			}
 		}()
 	}
-	class := func() string {
-		switch x := rand.Float64(); {
-		case x < 0.43:
-			return "price-alert"
-		case x < 0.81:
-			return "order-relay"
-		}
-		return "fee-charge"
+	// 30 messages a second. Of these, 17% come in clumps of 16 for one partner, or, without trouble, one
+	// by one like the others.
+	const perSecond, inClumps, clumpSize = 30, 17, 16 // inClumps: a hundredth part
+	stream := float64(perSecond)
+	if p.trouble {
+		stream *= 1 - inClumps/100.0
 	}
-	size := func(class string) int { return 60_000 + rand.IntN(5_000) }
-	next, clump := time.Now(), begin.Add(2*time.Second)
+	begin := time.Now()
+	next, clump := begin, begin.Add(2*time.Second)
 	for time.Since(begin) < length {
 		time.Sleep(time.Until(next))
-		next = next.Add(time.Duration(rand.ExpFloat64() * float64(time.Second) / 30))
-		dest := 0
-		if rand.Float64() > 0.25 {
-			dest = 1 + rand.IntN(partners-1)
+		next = next.Add(time.Duration(rand.ExpFloat64() * float64(time.Second) / stream))
+		send(rand.IntN(partners))
+		if !p.trouble || time.Now().Before(clump) {
+			continue
 		}
-		cl := class()
-		send(dest, cl, size(cl))
-		if time.Now().After(clump) {
-			clump = clump.Add(4 * time.Second)
-			d := rand.IntN(3)
-			if time.Since(begin) < 14*time.Second {
-				d = 0
-			}
-			if os.Getenv("HOLD") != "" {
-				proc.signal(syscall.SIGSTOP)
-			}
-			for range 16 {
-				cl := class()
-				send(d, cl, size(cl))
-			}
-			if os.Getenv("HOLD") != "" {
-				time.Sleep(140 * time.Millisecond)
-				proc.signal(syscall.SIGCONT)
-			}
+		clump = clump.Add(clumpSize * 100 * time.Second / (perSecond * inClumps))
+		dest := rand.IntN(3)
+		p.rec.add("a clump for partner %d", dest)
+		for range clumpSize {
+			send(dest)
 		}
 	}
 	wg.Wait()
 	w.end()
-	p.rec.say("largest file %d, largest copy %d", w.biggest, w.copies)
-	p.rec.say("taken on %d, refused or failed %d; %d sweeps of the folder, %d found over %d bytes; most %d bytes at %.1f s:%s",
-		sent.Load(), refused.Load(), w.sweeps, w.over, limit, w.most, w.mostAt.Sub(begin).Seconds(), w.listing)
+	p.rec.say("round %d: %d messages taken on, %d not; %d sweeps of the folder, %d of them found more than %d bytes", round,
+		taken.Load(), refused.Load(), w.sweeps, w.over, limit)
+	p.rec.say("  most: %d bytes at %.1f s, in %s", w.most, w.mostAt.Sub(begin).Seconds(), w.files)
 	return w.over > 0, nil
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,17 +24,15 @@
 }
 
 // track has the process killed at the end of the case, however it ends.
-func (p *play) track(proc *process) *process {
+func (p *play) track(proc *process) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.processes = append(p.processes, proc)
-	return proc
 }
 
 // start starts a process of r.
 func (p *play) start(r *relay, second bool) (*process, error) {
-	proc, err := r.start(second, func(proc *process) { p.track(proc) })
-	return proc, err
+	return r.start(second, p.track)
 }
 
 func (p *play) killAll() {
@@ -72,9 +70,6 @@
 		return 2
 	}
 	defer os.RemoveAll(dir)
-	if os.Getenv("KEEP") != "" {
-		dir = os.Getenv("KEEP")
-	}
 	p := &play{root: root, dir: dir, rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	defer p.killAll()
 	stop := make(chan os.Signal, 1)
--- a/review/rig/relay.go
+++ b/review/rig/relay.go
@@ -105,9 +105,6 @@
 	cmd.Dir, cmd.Stdout, cmd.Stderr = r.root, log, log
 	cmd.Env = append(os.Environ(), "ROUTER_NAME=n0", "ROUTER_LISTEN="+r.listen, "ROUTER_STATE="+r.state,
 		"ROUTER_CONFIG="+path, "ROUTER_ADMIN="+admin, fmt.Sprint("ROUTER_DISCOVERY=", r.config["discovery"]))
-	if os.Getenv("ONE") != "" {
-		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
-	}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
