--- a/review/rig/partner.go
+++ b/review/rig/partner.go
@@ -6,17 +6,9 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 )
 
-// call is one call that came whole.
-type call struct {
-	ids    []string
-	at     time.Time // its last byte has come
-	closed time.Time // its connection ended before the answer; zero: it was answered
-}
-
 // partner stands in for one endpoint of a partner.
 type partner struct {
 	name    string
@@ -25,9 +17,6 @@
 	server  *http.Server
 	service service
 	ledger  *ledger // nil: none
-
-	mu    sync.Mutex
-	calls []*call
 }
 
 // service says how long a call runs and how it is answered. A status of 0 leaves the call without an
@@ -81,10 +70,6 @@
 
 // run serves one call.
 func (p *partner) run(w http.ResponseWriter, r *http.Request, ids []string, body []byte) {
-	c := &call{ids: ids, at: time.Now()}
-	p.mu.Lock()
-	p.calls = append(p.calls, c)
-	p.mu.Unlock()
 	if p.ledger != nil {
 		p.ledger.called(ids)
 	}
@@ -110,22 +95,8 @@
 			}
 		}
 	case <-r.Context().Done():
-		p.mu.Lock()
-		c.closed = time.Now()
-		p.mu.Unlock()
 		p.rec.add("call %s %v: its connection ended", p.name, ids)
 	}
 }
 
-// snapshot returns the calls so far.
-func (p *partner) snapshot() []call {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	all := make([]call, len(p.calls))
-	for i, c := range p.calls {
-		all[i] = *c
-	}
-	return all
-}
-
 func (p *partner) close() { p.server.Close() }
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -85,7 +85,6 @@
 			p.mu.Lock()
 		case <-deadline:
 			p.mu.Lock()
-			from = p.generation - 1
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(answer{p.generation, false, []instance{}})
 			p.mu.Unlock()
--- a/review/rig/relay.go
+++ b/review/rig/relay.go
@@ -11,12 +11,11 @@
 	"time"
 )
 
-// relay is one relay of a deployment: its addresses, its state folder and its current process.
+// relay is one relay of a deployment: its address, its state folder and its configuration.
 type relay struct {
 	root, dir, state string
-	listen, admin    string
+	listen           string
 	config           object
-	process          *process
 	starts           int
 }
 
@@ -25,7 +24,6 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	log    *os.File
-	admin  string
 }
 
 type object = map[string]any
@@ -108,7 +106,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p := &process{cmd: cmd, exited: make(chan struct{}), log: log, admin: admin}
+	p := &process{cmd: cmd, exited: make(chan struct{}), log: log}
 	go func() { cmd.Wait(); log.Close(); close(p.exited) }()
 	track(p)
 	url := "http://" + r.listen + "/ready"
@@ -143,13 +141,3 @@
 	p.cmd.Process.Kill()
 	<-p.exited
 }
-
-// ended reports whether the process has ended.
-func (p *process) ended() bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
