Review: case 2, relays that refuse all for ever with nothing held

Three relays, 61 messages a second, bodies of 64 KiB: in 3 of 3 plays each relay refuses everything from 20 to 81 s on, with no message held.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -45,6 +45,7 @@
 
 var cases = map[string]func(*play) (broken bool, err error){
 	"disk":    diskCase,
+	"stuck":   stuckCase,
 	"upgrade": upgradeCase,
 	"kill":    killCase,
 }
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -132,12 +133,15 @@
 
 func (p *platform) close() { p.server.Close() }
 
-// freeAddr returns a loopback address that nobody listens at.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("no free port: %w", err)
+// freeAddr returns a loopback address that nobody listens at. Its port is below those that the system
+// gives to outgoing connections.
+func freeAddr() (addr string, err error) {
+	for range 50 {
+		addr = fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(20_000))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", addr); err == nil {
+			return addr, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", fmt.Errorf("no free port: %w", err)
 }
