Fix an upgrade in which one large message held up all others

Callers saw alerts that were answered 202 during an upgrade and got their notice 0.5 to 1.3 s after their time, with no call.

Cause: a transfer to the next process had room for 64 KiB with 700 bytes a message, so a body of more than 64,836 bytes never fitted, and the selection stopped at the first message that did not fit. All behind it stayed in the process whose policy steps had stopped.

The two new tests fail without this change (nothing transferred).

Change: room for one message of the largest size; a message that does not fit is passed over. Order per key holds, since each transfer names the ordered messages that stay and the successor keeps back younger ones of their keys.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -73,7 +73,8 @@
 // two journals and the spool for a moment, in addition to the copy that compaction makes.
 func MaxTransferBytes(free int64) int64 { return min(max(0, free)/8, maxTransferBytes) }
 
-const maxTransferBytes = 64 << 10
+// maxTransferBytes has room for a message with the longest body, 64 KiB, and all that goes with it.
+const maxTransferBytes = 80 << 10
 
 // Times of the leaving process, counted from SIGTERM.
 const (
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -257,21 +257,33 @@
 // transferOverheadBytes bounds the size of a transferred message without its body.
 const transferOverheadBytes = 700
 
-// transferPending writes a file for the next process with the messages that fit into capacity
-// bytes, if there is anything to report. The limit keeps the messages, which are still in this
-// process's directory as well, within the disk budget.
-func (h *Host) transferPending(send func([]byte) error, update *handover.Update, capacity int64) error {
-	var msgs, rest []*memory.Message
+// selectTransfer returns the messages that fit into capacity bytes, and those that stay. A message
+// that does not fit holds up no other: the next process keeps the order of each ordering key, since
+// it is told what stays here.
+func (h *Host) selectTransfer(capacity int64) (msgs, rest []*memory.Message) {
 	for i, m := range h.untransferred {
+		if capacity < transferOverheadBytes {
+			return msgs, append(rest, h.untransferred[i:]...) // nothing else fits
+		}
 		if h.table.Get(m.Number) != m || !transferable(m) {
 			continue
 		}
-		if capacity -= int64(m.BodySize() + transferOverheadBytes); capacity < 0 {
-			rest = h.untransferred[i:]
-			break
+		size := int64(m.BodySize() + transferOverheadBytes)
+		if size > capacity {
+			rest = append(rest, m)
+			continue
 		}
+		capacity -= size
 		msgs = append(msgs, m)
 	}
+	return msgs, rest
+}
+
+// transferPending writes a file for the next process with the messages that fit into capacity
+// bytes, if there is anything to report. The limit keeps the messages, which are still in this
+// process's directory as well, within the disk budget.
+func (h *Host) transferPending(send func([]byte) error, update *handover.Update, capacity int64) error {
+	msgs, rest := h.selectTransfer(capacity)
 	owed := h.remainingOrdered(msgs)
 	if len(msgs) == 0 && len(h.untransferredRetryAfters) == 0 && len(h.calls) == h.reportedInFlight &&
 		slices.Equal(owed, h.reportedOwed) {
--- /dev/null
+++ b/internal/wire/transfer_test.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"oatfold/internal/clock"
+	"oatfold/internal/handover"
+	"oatfold/internal/memory/journal"
+)
+
+// block keeps the policy engine from calling the endpoint, so that messages wait.
+func (env *testEnv) block() {
+	env.host.Do(func(h *Host) {
+		h.endpoints["s-1"].backoff.extend(time.Minute)
+		h.relay.ApplyRetryAfter(h.now(), "s-1", time.Minute)
+	})
+}
+
+// submitWaiting submits a message and returns once the host may transfer it.
+func (env *testEnv) submitWaiting(class, id, body string, left int) {
+	env.t.Helper()
+	if got := env.post(requestText(class, id, "Idempotency-Key: k\r\n", body, left)); got != 202 {
+		env.t.Fatalf("%s was answered %d", id, got)
+	}
+	waitFor(env.t, "the host to learn that the client was answered", func() (answered bool) {
+		env.host.Do(func(h *Host) { m := h.table.ByID(id); answered = m != nil && !m.Unanswered })
+		return answered
+	})
+}
+
+// transferRecorder collects what a host transfers.
+type transferRecorder struct {
+	ids     []string
+	pending []string // ids of ordered messages that stay, as last told
+}
+
+// send runs on the host's goroutine.
+func (r *transferRecorder) send(b []byte) error {
+	messages, text, err := journal.DecodeTransfer(b, clock.Scale{})
+	if err != nil {
+		return err
+	}
+	update, err := handover.Decode(text)
+	r.pending = nil
+	for _, m := range messages {
+		r.ids = append(r.ids, m.ID)
+	}
+	for _, m := range update.PendingOrdered {
+		r.pending = append(r.pending, m.ID)
+	}
+	return err
+}
+
+// Guards against an upgrade in which one message of the largest size kept all others in the process
+// that left, where nobody sent or ended them: the largest one has room in a transfer.
+func TestLargestMessageIsTransferred(t *testing.T) {
+	env := startEnv(t, answerOK)
+	env.block()
+	env.submitWaiting("order", "large", strings.Repeat("x", maxBody), 9000)
+	env.submitWaiting("alert", "small", "b", 5000)
+	var transferred transferRecorder
+	if err := env.host.HandOver(transferred.send, false, handover.MaxTransferBytes(3<<20)); err != nil {
+		t.Fatal(err)
+	}
+	env.host.TransferRemaining(handover.MaxTransferBytes(3 << 20))
+	env.host.Do(func(*Host) {
+		if !slices.Equal(transferred.ids, []string{"large", "small"}) {
+			t.Errorf("transferred %v", transferred.ids)
+		}
+	})
+}
+
+// Guards against the same where the disk has no room for the large message: smaller ones pass it,
+// and the next process is told what stays, so that it keeps the order of an ordering key.
+func TestTransferPassesOverWhatDoesNotFit(t *testing.T) {
+	env := startEnv(t, answerOK)
+	env.block()
+	env.host.Do(func(h *Host) {
+		class := h.classes["order"]
+		class.Ordered = true
+		h.classes["order"] = class
+	})
+	env.submitWaiting("order", "large", strings.Repeat("x", 20_000), 9000)
+	env.submitWaiting("alert", "small", "b", 5000)
+	env.host.Do(func(h *Host) { h.table.ByID("large").OrderingKey = "k" })
+	const room = 10_000
+	var transferred transferRecorder
+	if err := env.host.HandOver(transferred.send, false, room); err != nil {
+		t.Fatal(err)
+	}
+	env.submitWaiting("alert", "later", "b", 5000)
+	env.host.TransferRemaining(room)
+	env.host.Do(func(*Host) {
+		if !slices.Equal(transferred.ids, []string{"small", "later"}) ||
+			!slices.Equal(transferred.pending, []string{"large"}) {
+			t.Errorf("transferred %v, still pending %v", transferred.ids, transferred.pending)
+		}
+	})
+}
