Fix messages without an end while no policy step is made

Callers saw the notice of a message up to 1.3 s after its time in an upgrade; after a panic of the policy engine it could take as long as the longest Retry-After.

Cause: only the policy engine ended messages at their deadline. A process that hands over or stops makes no steps, and a restarted engine makes none before each Retry-After has passed, so what stayed there had no owner for its end.

--- a/internal/wire/attempts.go
+++ b/internal/wire/attempts.go
@@ -227,7 +227,7 @@
 		}
 	}
 	if it.resubmit && m != nil && m.Notification == nil && h.table.Get(it.num) != nil {
-		h.arrivals = append(h.arrivals, m)
+		h.queueArrival(m)
 	}
 	if it.reported {
 		return
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -223,6 +223,7 @@
 			return
 		}
 		h.sendToSuccessor, h.stepsStopped, h.arrivals, h.pendingEvents = send, true, nil, nil
+		h.watchAllDeadlines()
 		h.sequencer = sequence.Sequencer{}
 		h.table.UseSharedNumbering(numbers)
 		for cl := range h.calls {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -118,6 +118,7 @@
 	maxIdleConns              int                       // limit of idle connections to endpoints
 	idleConns                 index.List[*endpointConn] // least recently used first
 	expiries                  index.Heap[itemExpiry]    // messages whose deadline precedes their call's
+	unstepped                 unsteppedDeadlines        // of messages that no policy step completes at present
 	metrics                   *metrics.Set
 	rejectedCount             int // requests rejected since the last log line
 }
@@ -354,6 +355,7 @@
 		now := h.now()
 		h.expireItems(now)
 		h.expireHeld(now)
+		h.expireUnstepped(now)
 		if h.wakeAt > 0 && now >= h.wakeAt {
 			h.wakeAt, h.pendingEvents = 0, append(h.pendingEvents, policy.TimerFired{})
 		}
@@ -392,6 +394,9 @@
 	if e := h.expiries.First(); e != nil {
 		at = min(at, e.At())
 	}
+	if e := h.unstepped.due.First(); e != nil {
+		at = min(at, e.At())
+	}
 	if h.gossiper.Active() && !h.stepsStopped {
 		at = min(at, h.gossiper.NextTick())
 	}
@@ -481,7 +486,10 @@
 // journal.
 func (h *Host) StopSteps() {
 	h.shutdownStage.Store(shutdownNoCalls)
-	h.Do(func(h *Host) { h.stepsStopped = true })
+	h.Do(func(h *Host) {
+		h.stepsStopped = true
+		h.watchAllDeadlines()
+	})
 }
 
 // Load counts the pending messages and the calls in flight.
--- a/internal/wire/ordering.go
+++ b/internal/wire/ordering.go
@@ -35,7 +35,7 @@
 func (h *Host) passToPolicy(m *memory.Message, transferred bool) {
 	until := h.now() + time.Until(m.Deadline) - deadlineMargin
 	if !h.sequencer.Hold(sequenceEntry(m), until, transferred) {
-		h.arrivals = append(h.arrivals, m)
+		h.queueArrival(m)
 	}
 }
 
@@ -48,7 +48,7 @@
 func (h *Host) releaseHeld(nums []uint32) {
 	for _, num := range nums {
 		if m := h.table.Get(num); m != nil && m.Notification == nil {
-			h.arrivals = append(h.arrivals, m)
+			h.queueArrival(m)
 		}
 	}
 }
--- a/internal/wire/policy_steps.go
+++ b/internal/wire/policy_steps.go
@@ -58,7 +58,8 @@
 func (h *Host) step(now policy.Time) {
 	wall := time.Now()
 	for _, m := range h.arrivals {
-		if h.table.Get(m.Number) != m {
+		h.unstepped.forget(m)
+		if h.table.Get(m.Number) != m || m.Notification != nil {
 			continue // completed before the policy engine received it
 		}
 		if m.Attempts == 0 {
@@ -156,4 +157,5 @@
 	}
 	h.sequencer.DropHeld()
 	h.restore(true)
+	h.watchAllDeadlines()
 }
