Count only own files in the spool before a transfer waits

Cause: the leaving process waits while four files are in the spool, whoever wrote them. Files that a successor can't read stay for an operator, so four of them would have kept every later upgrade from transferring anything before its exit.

Change: only files of the leaving process count. Found by reading while looking for the cause of the held-up upgrade; TestOwnTransfersCountsOnlyOwnFiles does not compile without it, and no play has shown the fault.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -16,7 +16,7 @@
 const (
 	takeOverInterval    = 10 * time.Millisecond // between two scans for transfers of the previous process
 	handOverInterval    = 5 * time.Millisecond  // between two checks in the leaving process
-	maxPendingTransfers = 4                     // files in the spool at which the leaving process waits
+	maxPendingTransfers = 4                     // its own files in the spool at which the leaving process waits
 )
 
 // successor takes over what other processes of this relay leave. It waits for the disk: while a
@@ -220,7 +220,7 @@
 	server.HandleDrainEvent(drain.HandOver)
 	progress, listenerClosed, readsStopped := handover.Progress{}, false, false
 	for {
-		if len(r.stateDir.Transfers()) < maxPendingTransfers {
+		if r.stateDir.OwnTransfers() < maxPendingTransfers {
 			r.host.TransferRemaining(handover.MaxTransferBytes(r.freeBytes()))
 		}
 		// Read in this order: once the listener is closed, no connection is added.
--- a/internal/handover/processdir/processdir.go
+++ b/internal/handover/processdir/processdir.go
@@ -401,6 +401,17 @@
 	return names
 }
 
+// OwnTransfers counts the files of the spool that this process wrote.
+func (s *StateDir) OwnTransfers() (count int) {
+	own := strconv.Itoa(os.Getpid())
+	for _, name := range s.Transfers() {
+		if TransferSender(name) == own {
+			count++
+		}
+	}
+	return count
+}
+
 // ReadTransfer reads a file of the spool.
 func (s *StateDir) ReadTransfer(name string) ([]byte, error) {
 	return os.ReadFile(filepath.Join(s.path(spoolName), name))
--- a/internal/handover/processdir/processdir_test.go
+++ b/internal/handover/processdir/processdir_test.go
@@ -166,3 +166,20 @@
 		t.Error("without a clock mark, dates do not follow the wall clock")
 	}
 }
+
+// Guards against a hand-over that waits for files of other processes, which its successor may leave
+// alone for good.
+func TestOwnTransfersCountsOnlyOwnFiles(t *testing.T) {
+	s, dir, _ := startProcess(t, t.TempDir())
+	defer exitProcess(s, dir)
+	if err := s.WriteTransfer([]byte("own")); err != nil {
+		t.Fatal(err)
+	}
+	foreign := filepath.Join(s.dir, spoolName, "00000000000000000001-1-000001"+transferExt)
+	if err := os.WriteFile(foreign, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if own, all := s.OwnTransfers(), len(s.Transfers()); own != 1 || all != 2 {
+		t.Errorf("%d own of %d files", own, all)
+	}
+}
