Test the late answer in one environment after the other

Cause: TestLateAnswer kept its first environment running while it checked that the second one leaves no goroutine, so a connection that the first relay opened meanwhile counted as left behind.

Change: a subtest for each class, so that each environment ends, and is checked, before the next begins. The checks are the same.

--- a/client/relay_test.go
+++ b/client/relay_test.go
@@ -300,22 +300,24 @@
 // A 202 after the timeout is ignored and does not answer a later request.
 func TestLateAnswer(t *testing.T) {
 	for class, o := range map[string]client.Outcome{"price-alert": client.Taken, "fee-charge": client.Uncertain} {
-		w := startEnv(t, testdouble.Config{})
-		g := startProxy(t, w, startRelay(t, w).Addr, faultFirst(1, testdouble.Fault{Kind: testdouble.HoldResponse}))
-		c := newClient(t, client.Config{Relays: []string{g.Addr}, AnswerTimeout: 100 * time.Millisecond})
-		res, err := c.Send(context.Background(), newMessage(class, 1, 5*time.Second))
-		wantAttempts := 2
-		if o == client.Uncertain {
-			wantAttempts = 1
-		}
-		expectResult(t, class, res, err, o, wantAttempts)
-		g.ReleaseResponses()
-		res, err = c.Send(context.Background(), newMessage(class, 2, 5*time.Second))
-		expectResult(t, class+" after the late answer", res, err, client.Taken, 1)
-		waitUntil(t, w, "the first to run", func() bool { return w.EffectLog.CountByName()[class+"/1"] >= 1 })
-		if d := w.EffectLog.Duplicates("fee-charge"); d != nil {
-			t.Error("doubles:", d)
-		}
+		t.Run(class, func(t *testing.T) { // each environment ends before the next begins
+			w := startEnv(t, testdouble.Config{})
+			g := startProxy(t, w, startRelay(t, w).Addr, faultFirst(1, testdouble.Fault{Kind: testdouble.HoldResponse}))
+			c := newClient(t, client.Config{Relays: []string{g.Addr}, AnswerTimeout: 100 * time.Millisecond})
+			res, err := c.Send(context.Background(), newMessage(class, 1, 5*time.Second))
+			wantAttempts := 2
+			if o == client.Uncertain {
+				wantAttempts = 1
+			}
+			expectResult(t, class, res, err, o, wantAttempts)
+			g.ReleaseResponses()
+			res, err = c.Send(context.Background(), newMessage(class, 2, 5*time.Second))
+			expectResult(t, class+" after the late answer", res, err, client.Taken, 1)
+			waitUntil(t, w, "the first to run", func() bool { return w.EffectLog.CountByName()[class+"/1"] >= 1 })
+			if d := w.EffectLog.Duplicates("fee-charge"); d != nil {
+				t.Error("doubles:", d)
+			}
+		})
 	}
 }
 
