Fix late changes that could pass for the whole endpoint list

Callers would have seen all partners but a few unknown until the next change. Cause: behind an outdated answer the relay asks for the whole list on the same connection, and takes the next answer for it, by order alone. Found while looking for the class of the answers taken for those of the next call; no run has shown it in service.

Evidence: TestLateChangesDoNotPassForTheWholeList fails without the change (one endpoint taken for the whole list).

Change: the whole list is asked for on a new connection, where nothing earlier can arrive.

--- a/internal/wire/list_watch.go
+++ b/internal/wire/list_watch.go
@@ -103,8 +103,10 @@
 			return
 		}
 		if err == nil && !list.Complete && list.Generation < known {
-			// Outdated changes would bring back endpoints that have drained or left since.
+			// Outdated changes would bring back endpoints that have drained or left since. The whole
+			// list is asked for on a new connection, where no late answer can pass for it.
 			err, known = fmt.Errorf("generation %d is older than %d", list.Generation, known), -1
+			conn.close()
 		}
 		log.Debug("requested endpoint list from discovery",
 			"path", path, "generation", list.Generation, "entries", len(list.Entries), "err", err)
--- a/internal/wire/list_watch_test.go
+++ b/internal/wire/list_watch_test.go
@@ -1,7 +1,12 @@
 package wire
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -107,3 +112,62 @@
 		}
 	}
 }
+
+// Changes that arrive late, as the second copy of an answer, never pass for the whole list: the
+// endpoints that they don't name would all be gone.
+func TestLateChangesDoNotPassForTheWholeList(t *testing.T) {
+	ln := listenLoopback(t)
+	list := func(generation int, whole bool, ids ...string) string {
+		var instances []string
+		for n, id := range ids {
+			instances = append(instances, fmt.Sprintf(`{"instanceId":%q,"hostPort":"127.0.0.1:%d","cell":7}`, id, n+1))
+		}
+		return httpResponse("200 OK", fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, generation, whole,
+			strings.Join(instances, ",")))
+	}
+	go func() {
+		for {
+			sock, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer sock.Close()
+				late := ""
+				for r := bufio.NewReader(sock); ; {
+					h, err := readHead(r)
+					if err != nil {
+						return
+					}
+					if strings.Contains(h.firstLine[1], "from=9") {
+						late = list(3, false, "s-1") // older than what the relay knows
+						io.WriteString(sock, late)
+						continue
+					}
+					if strings.Contains(h.firstLine[1], "from=") {
+						continue // nothing is newer
+					}
+					io.WriteString(sock, late+list(9, true, "s-1", "s-2"))
+				}
+			}()
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	events := make(chan any, 16)
+	done := make(chan struct{})
+	defer func() { cancel(); <-done }()
+	go func() {
+		watchEndpointList(ctx, listWatcher{addr: ln.Addr().String(), generation: -1}, events, discardLog)
+		close(done)
+	}()
+	for range 3 { // the whole list each time
+		select {
+		case e := <-events:
+			if got := e.(endpointListUpdate); !got.Complete || len(got.Entries) != 2 {
+				t.Fatalf("took %d endpoints for the whole list: %+v", len(got.Entries), got.EndpointList)
+			}
+		case <-time.After(updateDeadline):
+			t.Fatal("no list")
+		}
+	}
+}
