Fix answers taken for those of the next call

Callers saw messages that were taken on and got neither a delivery nor a notice, and messages that went out a second time while their first call was out.

Cause: an answer was paired with a call by order alone. An endpoint may send an answer twice; a copy that crosses the next call on its way was read as that call's answer, and the connection stayed shifted by one answer. A wait of 10 ms before the next call stood in for a fact.

Change: an answer belongs to the call if it is the first on its connection, or says that it is the last one as the call did, or equals no earlier answer there. Anything else is passed over, and a call that gets nothing else may have run. A call is announced as the last one on its connection where its true answer may equal an earlier one: behind a refusal, and at endpoints whose answers to single messages have not been seen to differ. No time enters the decision, so a slower copy changes nothing.

--- a/internal/wire/attempts.go
+++ b/internal/wire/attempts.go
@@ -187,7 +187,8 @@
 	if h.log.Enabled(context.Background(), slog.LevelDebug) {
 		h.log.Debug("attempt completed", "endpoint", result.call.endpoint.id, "dest", result.call.endpoint.dest,
 			"messages", result.call.ids(), "after", now-result.call.startedAt, "wait", result.retryAfter,
-			"ends", result.results, "out", len(h.calls), "held", h.table.PendingCount(), "err", result.err)
+			"ends", result.results, "out", len(h.calls), "held", h.table.PendingCount(),
+			"unbound", result.unboundAnswers, "err", result.err)
 	}
 	for i := range result.call.items {
 		h.expiries.Remove(result.call.items[i].expiry)
--- a/internal/wire/backoff.go
+++ b/internal/wire/backoff.go
@@ -41,6 +41,7 @@
 	rate     float64
 	state    atomic.Int32 // policy.EndpointState
 	backoff  *backoff
+	traits   answerTraits
 	idle     []*endpointConn // least recently used first
 }
 
--- a/internal/wire/endpoint_conn.go
+++ b/internal/wire/endpoint_conn.go
@@ -54,6 +54,7 @@
 	items         []callItem
 	batchSize     int // upper bound of the body of a batch, in bytes
 	startedAt     policy.Time
+	last          bool          // it announces that it is the last one on its connection
 	unrecorded    bool          // the journal did not record it, so it was not made
 	lastByteDelay time.Duration // how long to hold back the last byte and watch the connection; 0: not at all
 	timeout       time.Duration
@@ -84,6 +85,8 @@
 	report     *policy.LimitReport
 	err        error
 	reusable   bool // the connection can carry another call
+
+	unboundAnswers int // answers that were passed over, since nothing showed that they belong to the call
 }
 
 // endpointConn is a connection to an endpoint. Its goroutine carries one call at a time.
@@ -95,6 +98,7 @@
 	lastUsed      time.Time                  // owned by the host
 	idleNode      *index.Node[*endpointConn] // position among idle connections; owned by the host
 	lastAnswerAt  time.Time                  // when the last answer was read; zero: never
+	answers       answerHistory              // of the socket
 	dialTimeout   time.Duration
 	lateListeners *atomic.Int32 // connections read after their call timed out; nil: not counted
 	shutdown      *atomic.Int32 // a shutdownStage; nil: the process never shuts down
@@ -135,7 +139,7 @@
 func (c *endpointConn) close() {
 	if c.sock != nil {
 		c.sock.Close()
-		c.sock, c.lastAnswerAt = nil, time.Time{}
+		c.sock, c.lastAnswerAt, c.answers = nil, time.Time{}, answerHistory{}
 	}
 }
 
@@ -169,9 +173,10 @@
 			return res
 		}
 	}
+	c.closeIfUnbindable()
 	if c.sock != nil {
-		// Surplus bytes after the last answer arrive within this delay and make the connection
-		// stale. Otherwise they would be read as the answer to this call.
+		// Surplus bytes after the last answer mostly arrive within this delay and make the connection
+		// stale. Later ones are told from the answer to this call by answerHistory.
 		time.Sleep(settleDelay - time.Since(c.lastAnswerAt))
 	}
 	if c.sock != nil && stale(c.sock) {
@@ -198,6 +203,8 @@
 		return res
 	}
 	c.sock.SetDeadline(cl.deadline)
+	single := cl.includedCount() == 1
+	cl.last = c.answers.mayRepeat(single, &cl.endpoint.traits)
 	// Dialing has used up part of the call's time: the request states what is left.
 	c.buf = appendRequest(c.buf[:0], cl, time.Until(cl.deadline))
 	writeEnd := len(c.buf)
@@ -235,17 +242,11 @@
 	}
 	stage = Written
 	c.metrics.CountAttempts(cl.includedCount())
-	a, err := readResponseHeadWith(c.reader, func() {
-		// Once an answer has begun, the rest has to follow quickly: an endless head or body must
-		// not use up the concurrency limit.
-		c.sock.SetReadDeadline(earlier(cl.deadline, time.Now().Add(answerRestTimeout)))
-	})
+	a, err, bodyErr := c.readAnswer(cl, &res)
 	if a != nil {
 		stage = Answered
-		// Retry-After applies before the body is read, which may be slow, truncated or malformed.
-		res.retryAfter = cl.endpoint.recordRetryAfter(&a.head)
 	}
-	single, firstAnswer := cl.includedCount() == 1, c.lastAnswerAt.IsZero()
+	firstAnswer := c.lastAnswerAt.IsZero()
 	if err != nil {
 		if fail(err); a != nil && a.status == 200 && single {
 			// A complete status line with 200 proves the delivery of a single message.
@@ -253,7 +254,6 @@
 		}
 		return res
 	}
-	bodyErr := a.readRemaining(c.reader, maxBody)
 	res.report = parseLoadReport(a.get("X-Backend-Load"))
 	if bodyErr != nil && !(a.status == 200 && single) {
 		// A rejection counts only if all of the answer could be read; else the message may have
@@ -262,8 +262,11 @@
 		return res
 	}
 	// Bytes after the answer must not be read as the answer to the next call.
-	res.reusable = bodyErr == nil && a.reusable && c.reader.Buffered() == 0
+	res.reusable = bodyErr == nil && a.reusable && res.unboundAnswers == 0 && c.reader.Buffered() == 0
 	res.results, c.lastAnswerAt = cl.markExcluded(itemResults(cl, a)), time.Now()
+	if bodyErr == nil {
+		c.recordAnswer(cl, a, single, res.results)
+	}
 	if firstAnswer && atConnectionLimit(a) && bodyErr == nil {
 		res.results, res.err = cl.markExcluded(uniformResults(cl, itemResult{outcome: policy.ConnectFailed})),
 			errConnectionLimit
@@ -553,7 +556,7 @@
 	if cl.includedCount() == 1 {
 		it := &cl.items[slices.IndexFunc(cl.items, func(it callItem) bool { return !it.excluded() })]
 		b = append(b, "POST /hook HTTP/1.1\r\n"...)
-		b = appendField(appendField(b, "Host", cl.endpoint.addr), "X-Correlation-Id", it.id)
+		b = appendField(appendConnectionFields(b, cl), "X-Correlation-Id", it.id)
 		if it.key != "" {
 			b = appendField(b, "Idempotency-Key", it.key)
 		}
@@ -581,7 +584,17 @@
 	}
 	body = append(body, ']')
 	b = append(b, "POST /hook/batch HTTP/1.1\r\n"...)
-	b = appendField(appendField(b, "Host", cl.endpoint.addr), "Content-Type", "application/json")
+	b = appendField(appendConnectionFields(b, cl), "Content-Type", "application/json")
 	b = appendLength(appendField(b, "X-Time-Left-Ms", timeLeftMs), len(body))
 	return append(b, body...)
 }
+
+// appendConnectionFields appends the header fields that say where the call goes and whether it is the
+// last one on its connection.
+func appendConnectionFields(b []byte, cl *call) []byte {
+	b = appendField(b, "Host", cl.endpoint.addr)
+	if cl.last {
+		b = appendField(b, "Connection", "close")
+	}
+	return b
+}
