Put back the reasons behind rules and constants that the rewording deleted

Put back what a maintainer needs: why a shut destination's rejections end spread out, what a fair share is with hundreds of relays, why the interval grows at once without an answer, what a full relay, a kept idle connection, a silent destination and a lost answer cost, what waiting for calls cost on allowances, and four like them. Comments only; no code changes.

--- a/internal/peers/allowance.go
+++ b/internal/peers/allowance.go
@@ -19,7 +19,7 @@
 	raiseFactor         = 1.2                     // of each raise
 	slowRaiseFactor     = 1.04                    // of each raise near the estimated limit
 	nearLimitShare      = 0.85                    // of the estimated limit, from which raises are slow
-	minUsedShare        = 0.5                     // the rate is not raised while less of it is used
+	minUsedShare        = 0.5                     // of the rate: if less is used, it is not what bounds the calls, and is not raised
 	unneededFactor      = 1.5                     // of the demand: a rate this high bounds nothing and is dropped
 	minBoundTime        = 12 * time.Second        // after a reduction: a destination that returns needs the bound most
 	newcomerRounds      = 5                       // rounds in which a new relay adopts the rate of the others
@@ -43,7 +43,8 @@
 	reportsSinceAnnounced int
 
 	// Calls of the fleet to a separate route since the last change of the rate: the latest
-	// reports alone rarely hold enough calls to a single route. Zero for destinations.
+	// reports alone rarely hold enough calls to a single route. Zero for destinations: waiting for
+	// calls there cost 0.03 of the score as most of a fleet returned.
 	calls, rejected int
 }
 
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -71,7 +71,7 @@
 	massFailureDivisor      = 4                // more than one in N dead at once is a partition or an outage
 	duplicateThreshold      = 3                // signs of a second process within duplicateWindow that prove one
 	duplicateWindow         = 20 * Period
-	maxReorder              = 2048 // sequence numbers behind the latest; no network delays a datagram for longer
+	maxReorder              = 2048 // sequence numbers behind the latest, of some twenty a second; no network delays a datagram for longer
 )
 
 // zoneFailureDivisor bounds the outage of a zone: a member that has been dead for long counts as
--- a/internal/sites/watch.go
+++ b/internal/sites/watch.go
@@ -50,7 +50,7 @@
 	spillGrowth          = 1.05                   // factor per second, while few calls are rejected
 	spillGrowRejected    = 0.03                   // rejected fraction below which the rate grows
 	spillMinCalls        = 5                      // fewer recent calls never cut the rate
-	imbalanceFactor      = 1.15                   // factor on an equal share of headroom, since demands differ
+	imbalanceFactor      = 1.15                   // factor on an equal share of headroom, since demands differ; a relay that sees rejections lowers its own
 	minReporters         = 2                      // relays that have to report the same; one may be wrong or malicious
 	startupPeriod        = 10 * time.Second       // after its start, in which a relay accepts others' reports of a loss
 	recoveryReportPeriod = 15 * time.Second       // for how long a relay reports that a site has recovered
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	newConnCost         = 0.01                  // cost of a new connection, as a share of all calls
 	coldFleetFactor     = 1.3                   // factor on the fleet's allowance for a cold route
 	fleetLifetime       = 4 * time.Second       // how long a fleet update holds
-	fleetSpan           = 6 * time.Second / 5   // time that a fleet update covers
+	fleetSpan           = 6 * time.Second / 5   // time that a fleet update covers; a reduction shows only after it
 	minFleetCalls       = 6                     // calls that a fleet update needs to show an outage
 	sweepInterval       = 50 * time.Millisecond // longest time between steps while messages wait
 )
@@ -274,6 +274,7 @@
 
 // mayRefuse reports whether the client may safely retry: no attempt is in flight, and the message
 // didn't run or is safe to repeat. A retry at another relay would ignore a keyed message's window.
+// There it could be held, and run twice.
 func (m *message) mayRefuse() bool {
 	return m.call == nil && (!m.mayHaveRun || m.class.Effect == Safe)
 }
@@ -344,8 +345,10 @@
 
 // blockAfter blocks the route for a Retry-After, and longer where the rejection shows an outage: a
 // Retry-After longer than a rate limit needs or without a limit, or a second rejection in a row
-// with most of the limit left. As a destination recovers cold, these blocks end spread out. A first
-// rejection may come with a stale report: it blocks for the warm-up time at most.
+// with most of the limit left. As a destination recovers cold, these blocks end spread out. A
+// first rejection may come with a stale report: it blocks for the warm-up time at most. A
+// destination that is shut rejects like one at its limit, and all that it rejected would otherwise
+// return together as it opens.
 func (r *Relay) blockAfter(c *call, e AttemptEnded) {
 	rt, report := c.endpoint.route, e.Report
 	unspent := e.Outcome == Rejected && report != nil &&
@@ -411,7 +414,9 @@
 }
 
 // callShare returns this relay's calls per second for the route: its fair share, or its demand if
-// higher, since most of many relays have no demand.
+// higher, since most of many relays have no demand. With hundreds of relays a fair share is less
+// than one call before a message's deadline; the demands of all add up to what the route can
+// expect.
 func (r *Relay) callShare(rt *route) float64 {
 	return max(r.fairShare(rt), rt.dest.demand/float64(len(rt.dest.routes)*max(1, rt.dest.kind.MaxBatch)))
 }
@@ -422,7 +427,9 @@
 	return cmp.Or(rt.rate/relays, rt.servedRate, 1/(defaultCallInterval.Seconds()*relays))
 }
 
-// attemptInterval returns an interval that allows a few attempts within the target latency.
+// attemptInterval returns an interval that allows a few attempts within the target latency. With
+// hundreds of relays the interval that all of them keep together is longer than any client waits,
+// though few have messages for the route.
 func (r *Relay) attemptInterval(rt *route) time.Duration {
 	return min(seconds(1/r.callShare(rt)), r.firstInterval*time.Duration(max(1, rt.dest.kind.MaxBatch)))
 }
@@ -447,7 +454,8 @@
 }
 
 // coldInterval returns the interval of a route that is down or ramping, by its mean warmth since
-// the last call: by the current one, the intervals of many relays would end together.
+// the last call: by the current one, the intervals of many relays would end together. That would
+// be more calls than their rates add up to.
 func (r *Relay) coldInterval(rt *route) time.Duration {
 	warm := max(r.cfg.ColdStartShare, 0.05)
 	if rt.health == ramping {
@@ -474,7 +482,8 @@
 	return interval
 }
 
-// unresponsive reports whether an answer is overdue and none has come since.
+// unresponsive reports whether an answer is overdue and none has come since. A destination that
+// hangs would hold calls for seconds before the first timeout shows it.
 func (r *Relay) unresponsive(rt *route) bool {
 	return len(rt.calls) > 0 && rt.lastSuccess < rt.calls[0].sentAt &&
 		r.now-rt.calls[0].sentAt > r.overdueAfter(rt)
@@ -555,10 +564,12 @@
 	}
 }
 
-// lengthenInterval lengthens the interval once for all calls that were in flight together: first to
-// allow a few attempts, then by intervalGrowth up to coldInterval, at once if a connection got no
-// answer. Errors and lost answers count from the third in a row. Where rejected calls count against
-// the limit, the bound is the longest deadline, since just above the limit nothing is accepted.
+// lengthenInterval lengthens the interval once for all calls that were in flight together: first
+// to allow a few attempts, then by intervalGrowth up to coldInterval, at once if a connection got
+// no answer. Errors and lost answers count from the third in a row. Where rejected calls count
+// against the limit, the bound is the longest deadline, since just above the limit nothing is
+// accepted. The first step keeps attempts from being used up within a moment. Without the last,
+// hundreds of relays would try a silent destination until it returns, cold.
 func (r *Relay) lengthenInterval(rt *route, c *call, o Outcome) {
 	if rt.unsuccessful++; rt.unsuccessful == 1 {
 		rt.runStart = r.now
@@ -765,7 +776,8 @@
 }
 
 // limitPending sheds messages before MaxPending is reached: by the plan for sites, over-quota ones
-// first, then from the longest queue, then those of the lowest value.
+// first, then from the longest queue, then those of the lowest value. A full relay would reject
+// messages for healthy destinations.
 func (r *Relay) limitPending() {
 	unanswered := 0
 	for _, m := range r.pending {
@@ -855,6 +867,7 @@
 func (r *Relay) staleConn(c *call, lost bool) bool { return r.reuse.RecordCall(r.now, c.idleFor, lost) }
 
 // closeFreed closes freed connections outside the subset, or of a kind that recently refused one.
+// Hundreds of relays that each keep an idle connection would fill an endpoint's connection table.
 func (r *Relay) closeFreed() {
 	for _, ep := range r.freed {
 		at := r.connRefused[ep.dest.kind]
@@ -866,8 +879,9 @@
 	r.freed = r.freed[:0]
 }
 
-// maySendOver keeps unsafe messages from probing a route that may run them without an answer, until
-// it has had no call for a while, which is short if no failed call may have run.
+// maySendOver keeps unsafe messages from probing a route that may run them without an answer,
+// until it has had no call for a while, which is short if no failed call may have run. Where no
+// other messages come, nobody else would find out that the route is back.
 func (r *Relay) maySendOver(m *message, rt *route) bool {
 	probeAfter := r.cfg.OverloadTime
 	if rt.mayHaveRun {
@@ -901,6 +915,8 @@
 }
 
 // unhealthyAtLimit reports whether unhealthy routes, this one among them, use half of all calls.
+// With three or four concurrent calls, one to each of a few silent destinations would leave none
+// for the others.
 func (r *Relay) unhealthyAtLimit(rt *route) bool {
 	if !r.unhealthy(rt) {
 		return false
@@ -994,7 +1010,8 @@
 
 // attemptTimeout returns how long an attempt may take. A repeatable message keeps time in its
 // repeat window for another one. One that a timeout would lose waits until its deadline, or, while
-// half of all calls are in use, as long as all but unusually slow messages take.
+// half of all calls are in use, as long as all but unusually slow messages take. A lost answer
+// would otherwise hold a call for the client's whole patience.
 func (r *Relay) attemptTimeout(m *message, rt *route) time.Duration {
 	left, overdue := m.deadline-r.now, r.overdueAfter(rt)
 	switch {
