Let the list of known failures name a command and its seed

The command has to be for the test of its line and to set that seed by a flag; a line that passes, has no test, is doubled or malformed fails the run as before, and the older form is read as before. Nine new cases of TestKnownRed.

--- a/internal/ci/knownred/knownred_test.go
+++ b/internal/ci/knownred/knownred_test.go
@@ -10,9 +10,19 @@
 // module is the test file of a package with a passing test and two failing ones.
 const module = `package a
 
-import "testing"
+import (
+	"flag"
+	"testing"
+)
+
+var seed = flag.Int("seed", 1, "")
 
 func TestGreen(t *testing.T) {}
+func TestSeeded(t *testing.T) {
+	if *seed == 7 {
+		t.Error("red")
+	}
+}
 func TestRed(t *testing.T)   { t.Error("red") }
 func TestRedToo(t *testing.T) { t.Run("sub", func(t *testing.T) { t.Error("red") }) }
 `
@@ -42,17 +52,29 @@
 	green := "package b\n\nimport \"testing\"\n\nfunc TestRed(t *testing.T) {}\n"
 	red := strings.Replace(green, "{}", "{ t.Fail() }", 1)
 	one, two := "./a TestRed | it is | issue 31\n", "./a TestRedToo/sub | it is, too | issue A\n"
+	seeded := func(command, seed string) string {
+		return one + two + "./a TestSeeded | " + command + " | " + seed + " | it is | issue 31\n"
+	}
 	for name, c := range map[string]struct{ known, a, b, want string }{
-		"absent, all green":       {"absent", strings.Replace(green, "package b", "package a", 1), green, ""},
-		"absent, one red":         {"absent", module, green, "exit status 1"},
-		"empty, one red":          {"", module, green, "exit status 1"},
-		"all red ones listed":     {one + two, module, green, ""},
-		"one of two listed":       {one, module, green, "exit status 1"},
-		"the same name elsewhere": {one + two, module, red, "exit status 1"},
-		"a listed one passes":     {one + two + "./a TestGreen | x | issue 1\n", module, green, "fails no more"},
-		"no such test":            {one + two + "./a TestRe | x | issue 1\n", module, green, "has no test"},
-		"no such sub-test":        {one + two + "./a TestRedToo/su | x | issue 1\n", module, green, "has no test"},
-		"no such package":         {"./c TestRed | x | issue 1\n", module, green, "no package"},
+		"red with a seed":               {seeded("go test ./a -run TestSeeded -seed=7", "seed 7"), module, green, ""},
+		"green with its seed":           {seeded("go test ./a -run TestSeeded -seed=8", "seed 8"), module, green, "fails no more"},
+		"a command without its seed":    {seeded("go test ./a -run TestSeeded -seed=8", "seed 7"), module, green, "set the seed to 7"},
+		"a command without a seed flag": {seeded("go test ./a -run TestSeeded -v", "seed 7"), module, green, "set the seed to 7"},
+		"another test's command":        {seeded("go test ./a -run TestRed -seed=7", "seed 7"), module, green, "does not begin"},
+		"another package's command":     {seeded("go test ./b -run TestSeeded -seed=7", "seed 7"), module, green, "does not begin"},
+		"a command that is none":        {seeded("make TestSeeded -seed=7", "seed 7"), module, green, "is not"},
+		"a seed that is none":           {seeded("go test ./a -run TestSeeded -seed=x", "seed x"), module, green, "is not"},
+		"a seed and no command":         {one + two + "./a TestSeeded | seed 7 | it is | issue 31\n", module, green, "is not"},
+		"absent, all green":             {"absent", strings.Replace(green, "package b", "package a", 1), green, ""},
+		"absent, one red":               {"absent", module, green, "exit status 1"},
+		"empty, one red":                {"", module, green, "exit status 1"},
+		"all red ones listed":           {one + two, module, green, ""},
+		"one of two listed":             {one, module, green, "exit status 1"},
+		"the same name elsewhere":       {one + two, module, red, "exit status 1"},
+		"a listed one passes":           {one + two + "./a TestGreen | x | issue 1\n", module, green, "fails no more"},
+		"no such test":                  {one + two + "./a TestRe | x | issue 1\n", module, green, "has no test"},
+		"no such sub-test":              {one + two + "./a TestRedToo/su | x | issue 1\n", module, green, "has no test"},
+		"no such package":               {"./c TestRed | x | issue 1\n", module, green, "no package"},
 		"a fourth line": {one + two + "./a TestX | x | issue 1\n./a TestY | x | issue 1\n", module, green,
 			"3 at most"},
 		"a line without its cause": {"./a TestRed |  | issue 31\n", module, green, "is not"},
--- a/internal/ci/knownred/main.go
+++ b/internal/ci/knownred/main.go
@@ -25,12 +25,45 @@
 
 // entry is one line of the list: a package, a test in it, the cause of its failure and the issue
 // that tracks it.
-type entry struct{ pkg, test, cause, issue string }
+type entry struct {
+	pkg, test    string
+	command      string // that fails, with the seed among its flags; empty: the test fails without flags
+	seed         string // empty if there is no command
+	cause, issue string
+}
 
 // entryPattern matches a line of the list.
-var entryPattern = regexp.MustCompile(`^(\./[\w./-]+) (Test\w*(?:/\S+)?) \| ([^|]*\S) \| issue (\S.*)$`)
+var entryPattern = regexp.MustCompile(
+	`^(\./[\w./-]+) (Test\w*(?:/\S+)?) \| (?:(go test [^|]*\S) \| seed (\d+) \| )?([^|]*\S) \| issue (\S.*)$`)
+
+// commandPrefix returns how the command of an entry begins.
+func (e entry) commandPrefix() string { return fmt.Sprintf("go test %s -run %s ", e.pkg, e.test) }
+
+// checkCommand returns an error unless the command runs the entry's test with its seed.
+func (e entry) checkCommand() error {
+	if e.command == "" {
+		return nil
+	}
+	flags, ok := strings.CutPrefix(e.command, e.commandPrefix())
+	if !ok || !slices.ContainsFunc(strings.Fields(flags), func(f string) bool {
+		return strings.HasPrefix(f, "-") && strings.HasSuffix(f, "="+e.seed)
+	}) {
+		return fmt.Errorf("%q does not begin with %q and set the seed to %s by a flag", e.command, e.commandPrefix(), e.seed)
+	}
+	return nil
+}
 
-// parse reads the list. Each line has the form `./internal/wire TestName | cause | issue 31`.
+// goArgs returns the arguments of the go command that runs the test.
+func (e entry) goArgs() []string {
+	args := []string{"test", "-count=1", "-v", "-run", e.runPattern(), e.pkg}
+	if e.command == "" {
+		return args
+	}
+	return append(args, strings.Fields(strings.TrimPrefix(e.command, e.commandPrefix()))...)
+}
+
+// parse reads the list. Each line has the form `./internal/wire TestName | cause | issue 31`, or
+// `./internal/wire TestName | go test ./internal/wire -run TestName -seed=7 | seed 7 | cause | issue 31`.
 func parse(text string) (entries []entry, err error) {
 	for n, s := range strings.Split(strings.TrimRight(text, "\n"), "\n") {
 		if text == "" {
@@ -38,9 +71,13 @@
 		}
 		m := entryPattern.FindStringSubmatch(s)
 		if m == nil {
-			return nil, fmt.Errorf("%s:%d: %q is not `./package TestName | cause | issue N`", listFile, n+1, s)
+			return nil, fmt.Errorf("%s:%d: %q is not `./package TestName | command | seed N | cause | issue N`",
+				listFile, n+1, s)
+		}
+		e := entry{pkg: m[1], test: m[2], command: m[3], seed: m[4], cause: m[5], issue: m[6]}
+		if err := e.checkCommand(); err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", listFile, n+1, err)
 		}
-		e := entry{m[1], m[2], m[3], m[4]}
 		if slices.ContainsFunc(entries, func(o entry) bool { return o.pkg == e.pkg && o.test == e.test }) {
 			return nil, fmt.Errorf("%s:%d: %s is named twice", listFile, n+1, e.test)
 		}
@@ -118,7 +155,7 @@
 	}
 	for _, e := range knownRed {
 		fmt.Fprintf(r.out, "known red: %s %s: %s (issue %s)\n", e.pkg, e.test, e.cause, e.issue)
-		out, err := r.command(io.Discard, "test", "-count=1", "-v", "-run", e.runPattern(), e.pkg)
+		out, err := r.command(io.Discard, e.goArgs()...)
 		switch {
 		case !strings.Contains(out, "=== RUN   "+e.test+"\n"):
 			failures = append(failures, fmt.Errorf("%s: %s has no test %s: %s", listFile, e.pkg, e.test, out))
