--- a/internal/wire/answer_binding.go
+++ b/internal/wire/answer_binding.go
@@ -176,8 +176,8 @@
 }
 
 // recordAnswer remembers the answer to a call, for those to come.
-func (c *endpointConn) recordAnswer(cl *call, a *response, single bool, results []itemResult) {
-	delivered := a.status == 200
+func (c *endpointConn) recordAnswer(cl *call, a *response, results []itemResult) {
+	single, delivered := cl.includedCount() == 1, a.status == 200
 	for i := range results {
 		delivered = delivered && (results[i].outcome == policy.Delivered || cl.items[i].excluded())
 	}
