--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oatfold/internal/drain"
+	"oatfold/internal/handover"
 	"oatfold/internal/wire"
 )
 
@@ -15,7 +16,7 @@
 	stopRiskyAttemptsAfter = 2500 * time.Millisecond // no more attempts that must not be repeated
 	stopAttemptsAfter      = 3100 * time.Millisecond // no more attempts at all
 	stopReadsAfter         = 3200 * time.Millisecond // no more client requests are read
-	exitAfter              = 3450 * time.Millisecond // calls still in flight may have been executed
+	exitAfter              = handover.ExitAfter      // calls still in flight may have been executed
 	stopCheckInterval      = 20 * time.Millisecond
 )
 
