Keep connections behind a refusal for calls that are safe to repeat

Change: where all messages of a call are safe to repeat, a refusal needs no binding: the connection is closed before another attempt, so that no two calls are out at once, and it does not matter whether the first ran.

--- a/internal/testdouble/answerrepeater.go
+++ b/internal/testdouble/answerrepeater.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,9 @@
 	// MaxDelay bounds the delay of a second copy. Half of the copies have none: they are on their way
 	// for so long that they meet the next call.
 	MaxDelay time.Duration
+	// OnCall is called when a call has been read, and with Completed set when its answer is written or
+	// the relay has closed its connection, whichever is first. It may be nil.
+	OnCall func(Call)
 	// Receipts puts a unique body into each answer of 200 to a call with one message. Without it those
 	// answers are all alike.
 	Receipts bool
@@ -109,7 +113,16 @@
 			r.crossed++
 			r.mu.Unlock()
 		}
+		ended := r.track(request, body)
+		next := make(chan struct{}) // closed when a further byte, or the end of the connection, has come
+		go func() {
+			defer close(next)
+			if _, err := reader.Peek(1); err != nil {
+				ended()
+			}
+		}()
 		answer, err := r.forward(request, body)
+		ended()
 		if err != nil {
 			return
 		}
@@ -119,9 +132,32 @@
 		if delay, repeats := r.draw(); repeats {
 			late.schedule(answer, delay)
 		}
+		<-next
 	}
 }
 
+// track tells OnCall of a call, and of its end when the returned function is called first.
+func (r *AnswerRepeater) track(request *http.Request, body []byte) (ended func()) {
+	if r.config.OnCall == nil {
+		return func() {}
+	}
+	items := []struct {
+		ID string `json:"id"`
+	}{{request.Header.Get("X-Correlation-Id")}}
+	if request.URL.Path == "/hook/batch" {
+		json.Unmarshal(body, &items) // the endpoint rejects what can't be read
+	}
+	call := Call{}
+	for _, item := range items {
+		call.IDs = append(call.IDs, item.ID)
+	}
+	r.config.OnCall(call)
+	return sync.OnceFunc(func() {
+		call.Completed = true
+		r.config.OnCall(call)
+	})
+}
+
 // draw decides whether an answer is sent twice, and after which delay; 0: with the next call.
 func (r *AnswerRepeater) draw() (delay time.Duration, repeats bool) {
 	r.mu.Lock()
--- a/internal/wire/answer_binding.go
+++ b/internal/wire/answer_binding.go
@@ -24,7 +24,9 @@
 //
 // Where none of them holds, nothing follows from an answer: the relay reads on until the call's
 // deadline, after which the call may have run. So that this happens only to copies, a call says that
-// it is the last one wherever its own answer might equal an earlier one.
+// it is the last one wherever its own answer might equal an earlier one. One exception saves
+// connections: a call whose messages are safe to repeat ends with any rejection. Its connection is
+// closed before another attempt, so that no two are in flight, and it does not matter whether it ran.
 
 const (
 	maxUnboundAnswers = 16 // that are passed over during a call
@@ -59,9 +61,9 @@
 }
 
 // mayRepeat reports whether the answer to the next call, with one or several messages, may equal an
-// earlier answer without being its copy.
-func (h *answerHistory) mayRepeat(single bool, traits *answerTraits) bool {
-	return h.refusals || single && h.singles && !traits.vary()
+// earlier answer without being its copy. safe says that a rejection need not be told from a copy.
+func (h *answerHistory) mayRepeat(single, safe bool, traits *answerTraits) bool {
+	return h.refusals && !safe || single && h.singles && !traits.vary()
 }
 
 // answerTraits is what the answers of an endpoint have shown of it. Its connections share it.
@@ -128,13 +130,16 @@
 	return digest.Sum64()
 }
 
+// rejection reports whether the endpoint turned the call away.
+func (a *response) rejection() bool { return a.status == 429 || a.status == 503 }
+
 // announcesClose reports whether the answer says that it is the last one on its connection.
 func (a *response) announcesClose() bool { return a.closesConnection(a.firstLine[0]) }
 
 // closeIfUnbindable closes a connection on which the answer to a further call could not be told from
 // a copy of an earlier one.
 func (c *endpointConn) closeIfUnbindable() {
-	if traits := &c.endpoint.traits; c.sock != nil && traits.ignoresClose.Load() && c.answers.mayRepeat(true, traits) {
+	if traits := &c.endpoint.traits; c.sock != nil && traits.ignoresClose.Load() && c.answers.mayRepeat(true, false, traits) {
 		c.close()
 	}
 }
@@ -169,7 +174,9 @@
 			}
 			return a, nil, nil
 		}
-		res.unboundAnswers++
+		if res.unboundAnswers++; cl.safe && a.rejection() {
+			return a, nil, nil
+		}
 		c.sock.SetReadDeadline(cl.deadline)
 	}
 	return nil, errTooManyUnbound, nil
