Keep connections behind a refusal for keyed messages too

Change: only calls with a message that must not be repeated are announced as the last ones behind a refusal. A keyed message that meets a refusal which may be a copy may have run: its connection is closed, and it is repeated within its window or not at all.

--- a/internal/wire/answer_binding.go
+++ b/internal/wire/answer_binding.go
@@ -24,15 +24,19 @@
 //
 // Where none of them holds, nothing follows from an answer: the relay reads on until the call's
 // deadline, after which the call may have run. So that this happens only to copies, a call says that
-// it is the last one wherever its own answer might equal an earlier one. One exception saves
-// connections: a call whose messages are safe to repeat ends with any rejection. Its connection is
-// closed before another attempt, so that no two are in flight, and it does not matter whether it ran.
+// it is the last one wherever its own answer might equal an earlier one. An exception saves
+// connections behind a rejection: where all messages of a call may be repeated, a rejection that
+// nothing binds gives the call up, with its connection, before another attempt. Messages that are
+// safe to repeat are then rejected, others may have run.
 
 const (
 	maxUnboundAnswers = 16 // that are passed over during a call
 	maxAnswerHistory  = 64 // earlier answers that a connection remembers; a copy follows right behind its answer
 )
 
+// errUnboundRejection ends a call that was turned away, or got a copy of an earlier rejection.
+var errUnboundRejection = errors.New("a rejection that may be a copy of an earlier one")
+
 // errTooManyUnbound ends a call whose connection keeps sending earlier answers.
 var errTooManyUnbound = errors.New("too many repeated answers")
 
@@ -61,9 +65,10 @@
 }
 
 // mayRepeat reports whether the answer to the next call, with one or several messages, may equal an
-// earlier answer without being its copy. safe says that a rejection need not be told from a copy.
-func (h *answerHistory) mayRepeat(single, safe bool, traits *answerTraits) bool {
-	return h.refusals && !safe || single && h.singles && !traits.vary()
+// earlier answer without being its copy. A rejection has to be told from a copy only if a message must
+// not be repeated.
+func (h *answerHistory) mayRepeat(single bool, effect policy.Effect, traits *answerTraits) bool {
+	return h.refusals && effect == policy.Unsafe || single && h.singles && !traits.vary()
 }
 
 // answerTraits is what the answers of an endpoint have shown of it. Its connections share it.
@@ -139,7 +144,7 @@
 // closeIfUnbindable closes a connection on which the answer to a further call could not be told from
 // a copy of an earlier one.
 func (c *endpointConn) closeIfUnbindable() {
-	if traits := &c.endpoint.traits; c.sock != nil && traits.ignoresClose.Load() && c.answers.mayRepeat(true, false, traits) {
+	if traits := &c.endpoint.traits; c.sock != nil && traits.ignoresClose.Load() && c.answers.mayRepeat(true, policy.Unsafe, traits) {
 		c.close()
 	}
 }
@@ -174,8 +179,10 @@
 			}
 			return a, nil, nil
 		}
-		if res.unboundAnswers++; cl.safe && a.rejection() {
+		if res.unboundAnswers++; a.rejection() && cl.effect == policy.Safe {
 			return a, nil, nil
+		} else if a.rejection() && cl.effect == policy.Keyed {
+			return nil, errUnboundRejection, nil
 		}
 		c.sock.SetReadDeadline(cl.deadline)
 	}
--- a/internal/wire/answer_binding_test.go
+++ b/internal/wire/answer_binding_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -53,37 +54,41 @@
 	}
 }
 
-// A call whose messages are safe to repeat ends with any rejection, and its connection with it: it is
-// given up before another attempt, whether the rejection was a copy or not. Nothing else that equals
-// an earlier answer ends it.
-func TestSafeCallEndsWithAnyRejection(t *testing.T) {
+// A call whose messages may be repeated is given up by a rejection that may be a copy, with its
+// connection: safe ones are rejected, others may have run. Nothing else that equals an earlier answer
+// ends it.
+func TestUnboundRejectionGivesTheCallUp(t *testing.T) {
 	refused, delivered := httpResponse("503 X", ""), httpResponse("200 OK", "receipt 1")
 	for name, c := range map[string]struct {
-		before string
-		script endpointScript
-		want   policy.Outcome
-		passed int // answers that nothing binds
-		reuses bool
+		before      string
+		script      endpointScript
+		safe, keyed policy.Outcome
+		passed      int // answers that nothing binds
+		reuses      bool
 	}{
-		"503, a copy of it, then 200": {refused, endpointScript{write: delivered, copyFirst: true}, policy.Rejected, 1, false},
-		"503, then an equal 503":      {refused, endpointScript{write: refused}, policy.Rejected, 1, false},
-		"503, then 200":               {refused, endpointScript{write: delivered}, policy.Delivered, 0, true},
-		"200, a copy of it, then 503": {delivered, endpointScript{write: refused, copyFirst: true}, policy.Rejected, 1, false},
+		"503, a copy of it, then 200": {refused, endpointScript{write: delivered, copyFirst: true}, policy.Rejected,
+			policy.Errored, 1, false},
+		"503, then an equal 503": {refused, endpointScript{write: refused}, policy.Rejected, policy.Errored, 1, false},
+		"503, then 200":          {refused, endpointScript{write: delivered}, policy.Delivered, policy.Delivered, 0, true},
+		"200, a copy of it, then 503": {delivered, endpointScript{write: refused, copyFirst: true}, policy.Rejected,
+			policy.Rejected, 1, false},
 	} {
-		t.Run(name, func(t *testing.T) {
-			conn := startScriptedConn(t)
-			conn.safe = true
-			conn.call(t, time.Minute, endpointScript{write: c.before}, "x")
-			conn.endpoint.traits.variety.Store(answersVary)
-			got := conn.call(t, time.Minute, c.script, "a")
-			if got.results[0].outcome != c.want || got.unboundAnswers != c.passed || got.reusable != c.reuses {
-				t.Errorf("outcome %v, %d unbound, reusable %v, %v", got.results[0].outcome, got.unboundAnswers,
-					got.reusable, got.err)
-			}
-			if conn.place != 1 {
-				t.Error("the second call had a connection of its own")
-			}
-		})
+		for effect, want := range map[policy.Effect]policy.Outcome{policy.Safe: c.safe, policy.Keyed: c.keyed} {
+			t.Run(fmt.Sprintf("%s, effect %d", name, effect), func(t *testing.T) {
+				conn := startScriptedConn(t)
+				conn.effect = effect
+				conn.call(t, time.Minute, endpointScript{write: c.before}, "x")
+				conn.endpoint.traits.variety.Store(answersVary)
+				got := conn.call(t, time.Minute, c.script, "a")
+				if got.results[0].outcome != want || got.unboundAnswers != c.passed || got.reusable != c.reuses {
+					t.Errorf("outcome %v, %d unbound, reusable %v, %v", got.results[0].outcome, got.unboundAnswers,
+						got.reusable, got.err)
+				}
+				if conn.place != 1 {
+					t.Error("the second call had a connection of its own")
+				}
+			})
+		}
 	}
 }
 
@@ -175,15 +180,15 @@
 	scripts chan endpointScript
 	seen    chan *head
 	bodies  chan []byte
-	place   int  // of the last call on its connection
-	safe    bool // the messages of its calls are safe to repeat
+	effect  policy.Effect // of the messages of its calls
+	place   int           // of the last call on its connection
 }
 
 func startScriptedConn(t *testing.T) *scriptedConn {
 	t.Helper()
 	ln := listenLoopback(t)
 	c := &scriptedConn{scripts: make(chan endpointScript, 1), seen: make(chan *head, 1), bodies: make(chan []byte, 1),
-		endpointConn: &endpointConn{endpoint: &endpoint{id: "e", addr: ln.Addr().String(), backoff: &backoff{}},
+		effect: policy.Unsafe, endpointConn: &endpointConn{endpoint: &endpoint{id: "e", addr: ln.Addr().String(), backoff: &backoff{}},
 			dialTimeout: time.Minute}}
 	go serveScripts(ln, c.scripts, c.seen, c.bodies)
 	t.Cleanup(c.close)
@@ -194,7 +199,7 @@
 // can't be reused is closed, as its owner does.
 func (c *scriptedConn) call(t *testing.T, timeout time.Duration, script endpointScript, ids ...string) callResult {
 	t.Helper()
-	cl := &call{endpoint: c.endpoint, timeout: timeout, deadline: time.Now().Add(timeout), safe: c.safe}
+	cl := &call{endpoint: c.endpoint, timeout: timeout, deadline: time.Now().Add(timeout), effect: c.effect}
 	for _, id := range ids {
 		cl.items = append(cl.items, callItem{id: id, body: []byte("b")})
 	}
--- a/internal/wire/attempt_error.go
+++ b/internal/wire/attempt_error.go
@@ -62,7 +62,7 @@
 // malformedAnswer reports whether the bytes received are no valid answer.
 func malformedAnswer(err error) bool {
 	for _, e := range []error{errFirstLine, errHeader, errLength, errBodyTooLong, errHeaderTooLong, errTooManyInterim,
-		errTooManyUnbound} {
+		errTooManyUnbound, errUnboundRejection} {
 		if errors.Is(err, e) {
 			return true
 		}
--- a/internal/wire/attempts.go
+++ b/internal/wire/attempts.go
@@ -45,7 +45,7 @@
 		}
 	}
 	if cl == nil || len(cl.items) >= max(1, h.kindSettings[h.destKinds[m.Dest]].MaxBatch) {
-		cl = &call{endpoint: ep, kind: h.destKinds[m.Dest], startedAt: now, safe: true}
+		cl = &call{endpoint: ep, kind: h.destKinds[m.Dest], startedAt: now}
 		if calls = append(calls, cl); !separate {
 			openCalls[send.Endpoint] = cl
 		}
@@ -67,12 +67,9 @@
 	}
 	// A batch lasts as long as its longest timeout. Ending it earlier would cut off a call that may
 	// still deliver.
-	cl.timeout = max(cl.timeout, send.Timeout)
-	switch h.strictestEffect(m) {
-	case policy.Unsafe:
-		cl.lastByteDelay, cl.safe = lastByteDelay, false
-	case policy.Keyed:
-		cl.safe = false
+	cl.timeout, cl.effect = max(cl.timeout, send.Timeout), max(cl.effect, h.strictestEffect(m))
+	if cl.effect == policy.Unsafe {
+		cl.lastByteDelay = lastByteDelay
 	}
 	cl.items, cl.batchSize = append(cl.items, it), cl.batchSize+maxItemSize(m.ID, m.IdempotencyKey, m.BodySize())
 	return calls
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -49,7 +49,7 @@
 	items         []callItem
 	batchSize     int // upper bound of the body of a batch, in bytes
 	startedAt     policy.Time
-	safe          bool          // all its messages are safe to repeat
+	effect        policy.Effect // the strictest of its messages
 	last          bool          // it announces that it is the last one on its connection
 	unrecorded    bool          // the journal did not record it, so it was not made
 	lastByteDelay time.Duration // how long to hold back the last byte and watch the connection; 0: not at all
--- a/internal/wire/endpoint_conn.go
+++ b/internal/wire/endpoint_conn.go
@@ -181,7 +181,7 @@
 		return errBlocked
 	}
 	c.sock.SetDeadline(cl.deadline)
-	cl.last = c.answers.mayRepeat(cl.includedCount() == 1, cl.safe, &cl.endpoint.traits)
+	cl.last = c.answers.mayRepeat(cl.includedCount() == 1, cl.effect, &cl.endpoint.traits)
 	// Dialing has used up part of the call's time: the request states what is left.
 	c.buf = appendRequest(c.buf[:0], cl, time.Until(cl.deadline))
 	// A Retry-After or a drain may have arrived while this call was dialed or built. A process that
--- a/internal/wire/endpoint_conn_test.go
+++ b/internal/wire/endpoint_conn_test.go
@@ -214,9 +214,9 @@
 				s.receipt = n + 1
 			}
 			reused := c.sock != nil && !stale(c.sock) &&
-				!(ep.traits.ignoresClose.Load() && c.answers.mayRepeat(true, false, &ep.traits))
+				!(ep.traits.ignoresClose.Load() && c.answers.mayRepeat(true, policy.Unsafe, &ep.traits))
 			s.copyFirst = reused && b&copyFirstBit != 0 && !s.silent && !s.stalls
-			cl := &call{endpoint: ep, timeout: 20 * time.Second}
+			cl := &call{endpoint: ep, timeout: 20 * time.Second, effect: policy.Unsafe}
 			for i := range s.outcomes {
 				cl.items = append(cl.items, callItem{id: string("abc"[i]), key: "k", body: []byte{0, '\n', b}})
 			}
