--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy decides how a relay delivers messages to destinations that it doesn't control. It
 // performs no I/O and reads no clock. Settings, events and actions are in api.go, the relay's state
-// is in state.go, and all decisions are in this file.
+// is in state.go. pacing.go decides how fast each route is called, and this file the rest.
 package policy
 
 import (
@@ -42,7 +42,7 @@
 	newConnCost         = 0.01                  // cost of a new connection, as a share of all calls
 	coldFleetFactor     = 1.3                   // factor on the fleet's allowance for a cold route
 	fleetLifetime       = 4 * time.Second       // how long a fleet update holds
-	fleetSpan           = 6 * time.Second / 5   // time that a fleet update covers
+	fleetSpan           = 6 * time.Second / 5   // time that a fleet update covers: a reduction shows after it
 	minFleetCalls       = 6                     // calls that a fleet update needs to show an outage
 	sweepInterval       = 50 * time.Millisecond // longest time between steps while messages wait
 )
@@ -274,6 +274,7 @@
 
 // mayRefuse reports whether the client may safely retry: no attempt is in flight, and the message
 // didn't run or is safe to repeat. A retry at another relay would ignore a keyed message's window.
+// There it could be held, and run twice.
 func (m *message) mayRefuse() bool {
 	return m.call == nil && (!m.mayHaveRun || m.class.Effect == Safe)
 }
@@ -344,8 +345,10 @@
 
 // blockAfter blocks the route for a Retry-After, and longer where the rejection shows an outage: a
 // Retry-After longer than a rate limit needs or without a limit, or a second rejection in a row
-// with most of the limit left. As a destination recovers cold, these blocks end spread out. A first
-// rejection may come with a stale report: it blocks for the warm-up time at most.
+// with most of the limit left. As a destination recovers cold, these blocks end spread out. A
+// first rejection may come with a stale report: it blocks for the warm-up time at most. A
+// destination that is shut rejects like one at its limit, and all that it rejected would otherwise
+// return together as it opens.
 func (r *Relay) blockAfter(c *call, e AttemptEnded) {
 	rt, report := c.endpoint.route, e.Report
 	unspent := e.Outcome == Rejected && report != nil &&
@@ -410,302 +413,6 @@
 	return rt.fleetAt > 0 && r.now-rt.fleetAt < fleetLifetime
 }
 
-// callShare returns this relay's calls per second for the route: its fair share, or its demand if
-// higher, since most of many relays have no demand.
-func (r *Relay) callShare(rt *route) float64 {
-	return max(r.fairShare(rt), rt.dest.demand/float64(len(rt.dest.routes)*max(1, rt.dest.kind.MaxBatch)))
-}
-
-// fairShare returns an equal share of the route's rate limit, in calls per second.
-func (r *Relay) fairShare(rt *route) float64 {
-	relays := float64(r.cfg.Relays)
-	return cmp.Or(rt.rate/relays, rt.servedRate, 1/(defaultCallInterval.Seconds()*relays))
-}
-
-// attemptInterval returns an interval that allows a few attempts within the target latency.
-func (r *Relay) attemptInterval(rt *route) time.Duration {
-	return min(seconds(1/r.callShare(rt)), r.firstInterval*time.Duration(max(1, rt.dest.kind.MaxBatch)))
-}
-
-// fairInterval returns the interval at which all relays together keep the rate limit, if it is
-// reported and either allows a call within the target latency or is exceeded by demand, or if
-// rejected calls count against it. Otherwise rejections may just mean a full queue, and
-// attemptInterval applies.
-func (r *Relay) fairInterval(rt *route) time.Duration {
-	fair, busy := seconds(1/r.fairShare(rt)),
-		rt.dest.demand > max(r.fairShare(rt), outageRun/rateWindow.Seconds())
-	if rt.rateReported && (fair <= r.minTarget || busy) || r.rejectionsCount(rt) {
-		return fair
-	}
-	return r.attemptInterval(rt)
-}
-
-// rejectionsCount reports whether rejected calls seem to count against the route's rate limit: many
-// were rejected in a row, or at its kind hardly any call soon after a rejection is accepted.
-func (r *Relay) rejectionsCount(rt *route) bool {
-	return r.now < rt.rejectionsCountUntil || r.retryAccepted[rt.dest.kind] < lowShare
-}
-
-// coldInterval returns the interval of a route that is down or ramping, by its mean warmth since
-// the last call: by the current one, the intervals of many relays would end together.
-func (r *Relay) coldInterval(rt *route) time.Duration {
-	warm := max(r.cfg.ColdStartShare, 0.05)
-	if rt.health == ramping {
-		warm = min(1, warm+(1-warm)*rt.meanRampTime(r.now)/float64(max(r.cfg.WarmUpTime, 1)))
-	}
-	if rt.fleet.Allowance > 0 {
-		return seconds(1 / (rt.fleet.Allowance * warm * coldFleetFactor)) // demand may be higher
-	}
-	return seconds(1 / (r.callShare(rt) * warm * max(1, coldOverloadShare*r.cfg.OverloadFactor)))
-}
-
-// pacingInterval returns the interval by rejections, health and the fleet's allowance.
-func (r *Relay) pacingInterval(rt *route) time.Duration {
-	interval := rt.interval
-	if rt.fleet.Allowance > 0 && r.fleetIsFresh(rt) {
-		interval = max(interval, seconds(1/rt.fleet.Allowance))
-	}
-	switch {
-	case rt.health != healthy:
-		interval = max(interval, r.coldInterval(rt))
-	case r.unresponsive(rt):
-		interval = max(interval, r.attemptInterval(rt))
-	}
-	return interval
-}
-
-// unresponsive reports whether an answer is overdue and none has come since.
-func (r *Relay) unresponsive(rt *route) bool {
-	return len(rt.calls) > 0 && rt.lastSuccess < rt.calls[0].sentAt &&
-		r.now-rt.calls[0].sentAt > r.overdueAfter(rt)
-}
-
-// overdueAfter returns how long after a call its answer is overdue.
-func (r *Relay) overdueAfter(rt *route) time.Duration {
-	if rt.latency == 0 {
-		return r.cfg.Classes[0].TargetLatency
-	}
-	// The minimum outlasts a short pause of either side.
-	return max(overdueLatencies*max(rt.recentLatency, rt.latency), minOverdueTicks*r.cfg.Tick)
-}
-
-// assess applies a call's outcome to the health of its route and endpoint.
-func (r *Relay) assess(c *call, e AttemptEnded) {
-	rt, ep := c.endpoint.route, c.endpoint
-	r.learnRate(rt)
-	rt.applyReport(e.Report)
-	if accepted := r.retryAccepted[rt.dest.kind]; c.afterRejection && e.Outcome == Delivered {
-		r.retryAccepted[rt.dest.kind] += (1 - accepted) * sampleWeight
-	} else if c.afterRejection && e.Outcome == Rejected &&
-		e.Report != nil && e.Report.Remaining < spentLimitShare {
-		r.retryAccepted[rt.dest.kind] -= accepted * sampleWeight
-	}
-	if r.staleConn(c, e.Outcome == TimedOut || e.Outcome == ConnectionLost) {
-		return // the loss says nothing about the route
-	}
-	switch e.Outcome {
-	case Delivered:
-		r.recordSuccess(rt, ep, e.Duration)
-	case Rejected:
-		rt.rejectedAt = r.now
-		rt.wasAtLimit, ep.tieBreak = true, newConnCost*(2+r.rng.Float64()) // prefer another endpoint
-		r.lengthenInterval(rt, c, Rejected)
-	case Errored, TimedOut, ConnectFailed, ConnectionLost, RequestIncomplete:
-		r.recordFailure(rt, c, e.Outcome)
-	}
-	r.updateHealth(rt)
-}
-
-// applyReport averages reported limits, which are inexact and take precedence over a listed rate.
-func (rt *route) applyReport(report *LimitReport) {
-	if report == nil || !(report.Limit > 0) || math.IsInf(report.Limit, 1) {
-		return
-	}
-	if !rt.rateReported {
-		rt.rate, rt.rateReported = report.Limit, true
-	}
-	rt.rate += (report.Limit - rt.rate) * latencyWeight
-}
-
-func (r *Relay) recordSuccess(rt *route, ep *endpoint, duration time.Duration) {
-	rt.served, rt.dest.minValue = rt.served+1, rt.dest.minValue*intervalDecay
-	if ep.connFailedAt > 0 && r.now-ep.connFailedAt < r.cfg.Classes[0].TargetLatency {
-		ep.connFailedAt = 0
-		r.quickRecovery[rt.dest.kind] += (1 - r.quickRecovery[rt.dest.kind]) * sampleWeight
-	}
-	rt.unsuccessful, rt.failed, rt.lastSuccess, ep.failures, rt.mayHaveRun = 0, 0, r.now, 0, false
-	ep.tieBreak = min(ep.tieBreak, newConnCost*r.rng.Float64())
-	rt.failureShare -= rt.failureShare * failureWeight
-	if rt.interval = scale(rt.interval, intervalDecay); rt.rateReported || !r.rejectionsCount(rt) {
-		rt.interval = min(rt.interval, r.fairInterval(rt))
-	}
-	if rt.interval < r.cfg.Tick {
-		rt.interval = 0
-	}
-	if rt.health != down {
-		rt.healthyInterval = rt.interval
-	}
-	if rt.latency == 0 {
-		rt.latency, rt.recentLatency = duration, duration
-	}
-	rt.recentLatency += scale(duration-rt.recentLatency, 2*latencyWeight)
-	rt.latency += scale(duration-rt.latency, latencyWeight/4)
-	if ep.connLimit > 0 {
-		ep.connLimit += 0.05
-	}
-}
-
-// lengthenInterval lengthens the interval once for all calls that were in flight together: first to
-// allow a few attempts, then by intervalGrowth up to coldInterval, at once if a connection got no
-// answer. Errors and lost answers count from the third in a row. Where rejected calls count against
-// the limit, the bound is the longest deadline, since just above the limit nothing is accepted.
-func (r *Relay) lengthenInterval(rt *route, c *call, o Outcome) {
-	if rt.unsuccessful++; rt.unsuccessful == 1 {
-		rt.runStart = r.now
-	}
-	neverRan := o == Rejected || o == ConnectFailed
-	if o == Rejected && rt.failed == 0 && rt.unsuccessful >= limitRejectionRun {
-		rt.rejectionsCountUntil = r.now + rateWindow
-	}
-	if c.sentAt < rt.lengthenedAt || !neverRan && rt.unsuccessful < outageRun {
-		return
-	}
-	rt.lengthenedAt = r.now
-	fair := r.fairInterval(rt)
-	if o == Rejected && r.fleetIsFresh(rt) && rt.health == healthy {
-		rt.interval = max(rt.interval, min(r.firstInterval, fair)) // the fleet's allowance does the rest
-		return
-	}
-	unreachable := o == ConnectFailed &&
-		(r.quickRecovery[rt.dest.kind] < lowShare || r.now-c.sentAt >= r.quickFailure)
-	if rt.interval == 0 && !unreachable {
-		if rt.interval = fair; !r.rejectionsCount(rt) {
-			rt.interval = min(max(seconds(1/(r.fairShare(rt)*float64(r.cfg.Relays))), r.firstInterval), fair)
-		}
-		return
-	}
-	fair = max(fair, r.coldInterval(rt))
-	switch {
-	case unreachable:
-		rt.interval = fair
-	case o == Rejected && r.rejectionsCount(rt):
-		rt.interval = min(2*rt.interval, r.maxDeadline)
-	default:
-		rt.interval = min(intervalGrowth*rt.interval, max(fair, rt.interval))
-	}
-}
-
-func (r *Relay) recordFailure(rt *route, c *call, o Outcome) {
-	ep := c.endpoint
-	ep.failures, ep.lastFailure = ep.failures+1, r.now
-	if o == ConnectFailed && ep.calls == 0 && r.now-c.sentAt < r.quickFailure { // refused, not unanswered
-		if ep.connFailedAt > 0 {
-			r.quickRecovery[rt.dest.kind] -= r.quickRecovery[rt.dest.kind] * sampleWeight
-		}
-		ep.connFailedAt, r.connRefused[rt.dest.kind] = r.now, r.now
-	}
-	if o == TimedOut && (rt.lastSuccess >= c.sentAt || r.now-c.sentAt < rt.latency) {
-		return // the message was slow to process, or its timeout was short: the route may be healthy
-	}
-	if o == ConnectFailed && ep.calls > 0 && rt.lastSuccess >= c.sentAt {
-		// The endpoint accepts no more connections: limit calls to those that got through.
-		ep.connLimit = max(1, float64(ep.calls))
-		return
-	}
-	r.lengthenInterval(rt, c, o)
-	if rt.countFailure(o); o != Errored {
-		rt.rampStart = r.now // a route that fails while ramping is cold again
-	}
-	rt.failureShare += (1 - rt.failureShare) * failureWeight
-}
-
-// updateHealth moves the route between healthy, down and ramping.
-func (r *Relay) updateHealth(rt *route) {
-	lasting := rt.unsuccessful >= outageRun && rt.failed > 0 && r.now-rt.runStart >= r.cfg.OverloadTime ||
-		rt.unsuccessful >= outageRun && r.now-rt.runStart >= 2*r.cfg.OverloadTime
-	switch {
-	case rt.health == healthy && (lasting || rt.failureShare > outageShare):
-		r.markDown(rt)
-	case rt.health == down && rt.unsuccessful == 0:
-		rt.rampStart = r.now
-		r.setHealth(rt, ramping)
-		// coldInterval limits the ramp: probe pacing and failures would keep to one endpoint.
-		if !r.rejectionsCount(rt) {
-			rt.interval = min(rt.interval, rt.healthyInterval)
-		}
-		for _, ep := range rt.endpoints {
-			ep.failures = 0
-		}
-	case rt.health == ramping && (rt.failed >= outageRun || rt.failed > 0 && rt.failureShare > outageShare):
-		r.setHealth(rt, down)
-	case rt.health == ramping && r.now-rt.rampStart > r.cfg.WarmUpTime:
-		rt.failureShare = 0
-		r.setHealth(rt, healthy)
-		r.logf("destination %d: healthy again after its warm-up", rt.dest.id)
-	}
-}
-
-func (r *Relay) markDown(rt *route) {
-	r.setHealth(rt, down)
-	r.logf("destination %d: marked down after %d calls without success", rt.dest.id, rt.unsuccessful)
-}
-
-// learnRate measures the calls that the route serves, for destinations whose rate limit is unknown.
-func (r *Relay) learnRate(rt *route) {
-	span := r.now - rt.spanStart
-	if span < measureSpan {
-		return
-	}
-	rate := float64(rt.served) / span.Seconds()
-	if rate > rt.servedRate {
-		rt.servedRate = rate
-	} else if rt.wasAtLimit && rt.health == healthy && rate > 0 {
-		rt.servedRate += (rate - rt.servedRate) / 4
-	}
-	rt.served, rt.wasAtLimit, rt.spanStart = 0, false, r.now
-}
-
-// expectedRate returns the messages per second that d may accept; 0: unlimited or unknown.
-func (r *Relay) expectedRate(d *destination) float64 {
-	var sum float64
-	d.freeAt = math.MaxInt64
-	for _, rt := range d.routes {
-		d.freeAt = min(d.freeAt, r.freeAt(rt))
-		switch {
-		case rt.health == healthy && rt.failed == 0 && r.pacingInterval(rt) > 0:
-			sum += 1 / r.pacingInterval(rt).Seconds()
-		case rt.health == healthy && rt.failed == 0 && (rt.slow() || r.unresponsive(rt)):
-			sum += float64(r.callLimit(rt)) / max(rt.recentLatency, rt.latency, r.cfg.Tick).Seconds()
-		default:
-			return 0
-		}
-	}
-	return sum * float64(max(1, d.kind.MaxBatch))
-}
-
-// freeAt returns when pacing and any Retry-After allow the route's next call.
-func (r *Relay) freeAt(rt *route) Time {
-	if rt.lastCall == 0 {
-		return rt.blockedUntil
-	}
-	interval, from := r.pacingInterval(rt), max(rt.blockedUntil, rt.notBefore)
-	if !r.usesTimeSlots(rt, interval) {
-		return max(from, rt.lastCall+scale(interval, rt.jitter))
-	}
-	slotWidth := r.cfg.TimeSlots.SlotWidth(interval)
-	// A time slot that has just begun may still be used.
-	from = max(from, rt.lastCall+scale(interval, 0.9), r.now-max(slotWidth, 2*r.cfg.Tick))
-	return r.cfg.TimeSlots.NextSlot(from+r.cfg.ClockOffset, slotWidth, rt.hash) - r.cfg.ClockOffset
-}
-
-// usesTimeSlots reports whether this relay calls the route in its own time slots: where rejected
-// calls count against a limit, calls that come close together get one another rejected. A relay
-// with little demand would leave most of its slots unused, and keep messages waiting.
-func (r *Relay) usesTimeSlots(rt *route, interval time.Duration) bool {
-	use := interval.Seconds() * rt.dest.demand / float64(len(rt.dest.routes))
-	return r.rejectionsCount(rt) && rt.health != ramping && interval >= r.firstInterval/4 && use >= minSlotUse
-}
-
 // shed completes messages that are about to expire or have no attempts left, and refuses those that
 // will lose too much of the value they had on arrival, over-quota ones first. In a shortage of
 // calls, assumed to last half as long again, it also refuses those worth less than the delay that
@@ -765,7 +472,8 @@
 }
 
 // limitPending sheds messages before MaxPending is reached: by the plan for sites, over-quota ones
-// first, then from the longest queue, then those of the lowest value.
+// first, then from the longest queue, then those of the lowest value. A full relay would reject
+// messages for healthy destinations.
 func (r *Relay) limitPending() {
 	unanswered := 0
 	for _, m := range r.pending {
@@ -855,6 +563,7 @@
 func (r *Relay) staleConn(c *call, lost bool) bool { return r.reuse.RecordCall(r.now, c.idleFor, lost) }
 
 // closeFreed closes freed connections outside the subset, or of a kind that recently refused one.
+// Hundreds of relays that each keep an idle connection would fill an endpoint's connection table.
 func (r *Relay) closeFreed() {
 	for _, ep := range r.freed {
 		at := r.connRefused[ep.dest.kind]
@@ -866,8 +575,9 @@
 	r.freed = r.freed[:0]
 }
 
-// maySendOver keeps unsafe messages from probing a route that may run them without an answer, until
-// it has had no call for a while, which is short if no failed call may have run.
+// maySendOver keeps unsafe messages from probing a route that may run them without an answer,
+// until it has had no call for a while, which is short if no failed call may have run. Where no
+// other messages come, nobody else would find out that the route is back.
 func (r *Relay) maySendOver(m *message, rt *route) bool {
 	probeAfter := r.cfg.OverloadTime
 	if rt.mayHaveRun {
@@ -901,6 +611,8 @@
 }
 
 // unhealthyAtLimit reports whether unhealthy routes, this one among them, use half of all calls.
+// With three or four concurrent calls, one to each of a few silent destinations would leave none
+// for the others.
 func (r *Relay) unhealthyAtLimit(rt *route) bool {
 	if !r.unhealthy(rt) {
 		return false
@@ -994,7 +706,8 @@
 
 // attemptTimeout returns how long an attempt may take. A repeatable message keeps time in its
 // repeat window for another one. One that a timeout would lose waits until its deadline, or, while
-// half of all calls are in use, as long as all but unusually slow messages take.
+// half of all calls are in use, as long as all but unusually slow messages take. A lost answer
+// would otherwise hold a call for the client's whole patience.
 func (r *Relay) attemptTimeout(m *message, rt *route) time.Duration {
 	left, overdue := m.deadline-r.now, r.overdueAfter(rt)
 	switch {
