--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -70,6 +70,7 @@
 	jobs                chan compactionJob
 	results             chan compactionResult
 	compacting          bool // a compaction is running
+	refusedForSpace     int  // messages refused or kept in memory only since the last Maintain
 	stats               Stats
 }
 
@@ -233,8 +234,10 @@
 		plan.Fits(j.config.Budget, used, len(j.locations), recordSize),
 		plan.Fits(j.config.Budget, used, len(j.locations), recordSize-int64(len(m.Body))), repeatable) {
 	case plan.NotStored:
+		j.refusedForSpace++
 		return ErrFull
 	case plan.MemoryOnly:
+		j.refusedForSpace++
 		kind, m.MemoryOnly = recordAcceptedMemoryOnly, true
 	}
 	j.maxNumber = max(j.maxNumber, m.Number)
@@ -375,6 +378,7 @@
 		j.config.Log.Info("journal can be written again; accepting new messages")
 	}
 	j.compact()
+	j.reportFull()
 }
 
 // dropEntries removes the entries of one kind from the batch.
--- /dev/null
+++ b/internal/memory/journal/space.go
@@ -0,0 +1,56 @@
+package journal
+
+import (
+	"log/slog"
+
+	"oatfold/internal/memory/journal/plan"
+)
+
+// SpaceUse says what the space of a journal is used for, in bytes.
+type SpaceUse struct {
+	Budget, Used, Reserve int64 // Used includes Reserve, the size of the reserve file
+	Active                int64 // the segment that is written to
+	Live                  int64 // records of pending messages
+	Retained              int64 // records that the last compactions had to retain, and segment headers
+	Dead                  int64 // what compaction would free of sealed segments
+	Segments, Pending     int   // counts of segments and of pending messages
+	Compacting            bool  // a compaction is running
+}
+
+// SpaceUse returns the current use of space. Its cost grows with the number of segments.
+func (j *Journal) SpaceUse() SpaceUse {
+	use := SpaceUse{
+		Budget: j.config.Budget, Used: j.usedBytes(), Reserve: j.reserveSize,
+		Segments: len(j.segments), Pending: len(j.locations), Compacting: j.compacting,
+	}
+	for i, seg := range j.segments {
+		use.Live += seg.liveBytes
+		if i == len(j.segments)-1 {
+			use.Active = seg.size
+			continue
+		}
+		use.Retained += seg.retainedBytes
+		use.Dead += plan.Segment{Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: seg.retainedBytes}.DeadBytes()
+	}
+	return use
+}
+
+// LogValue implements slog.LogValuer.
+func (u SpaceUse) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Int64("budget", u.Budget), slog.Int64("used", u.Used), slog.Int64("reserve", u.Reserve),
+		slog.Int64("active", u.Active), slog.Int64("live", u.Live), slog.Int64("retained", u.Retained),
+		slog.Int64("dead", u.Dead), slog.Int("segments", u.Segments), slog.Int("pending", u.Pending),
+		slog.Bool("compacting", u.Compacting),
+	)
+}
+
+// reportFull logs why messages were refused since the last call, if any were.
+func (j *Journal) reportFull() {
+	if j.refusedForSpace == 0 {
+		return
+	}
+	j.config.Log.Warn("journal is full", "refused", j.refusedForSpace, "space", j.SpaceUse(),
+		"commits_since_compaction_check", j.stats.Commits-j.lastCompactionCheck)
+	j.refusedForSpace = 0
+}
