--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -72,16 +72,25 @@
 	err                 error
 }
 
-// commitsPerCompactionCheck is the number of commits between two searches for a segment to compact.
+// commitsPerCompactionCheck is the number of commits between two searches for a segment to compact,
+// unless one is wanted earlier.
 const commitsPerCompactionCheck = 8
 
+// compactIfDue searches for a segment to compact if one is wanted, or some commits after the last
+// search.
+func (j *Journal) compactIfDue() {
+	if j.compactionWanted || j.config.CompactInline ||
+		j.stats.Commits-j.lastCompactionCheck >= commitsPerCompactionCheck {
+		j.compact()
+	}
+}
+
 // compact starts the compaction of a segment if that is worthwhile.
 func (j *Journal) compact() {
-	if j.compacting || j.needsTruncate ||
-		j.stats.Commits-j.lastCompactionCheck < commitsPerCompactionCheck && !j.config.CompactInline {
+	if j.compacting || j.needsTruncate {
 		return
 	}
-	j.lastCompactionCheck = j.stats.Commits
+	j.compactionWanted, j.lastCompactionCheck = false, j.stats.Commits
 	candidates := j.candidates[:0]
 	for i, seg := range j.segments {
 		if seg.retainedBytes > 0 && j.completedSeq-seg.retainedAtSeq > memory.MaxCompletedIDs ||
@@ -150,6 +159,7 @@
 		seg.retainedBytes, seg.retainedAtSeq = seg.size-seg.liveBytes, j.completedSeq // don't retry soon
 		return
 	}
+	j.compactionWanted = true // others may have waited
 	j.stats.Compactions++
 	j.stats.CompactedBytes += result.size
 	seg.compactedAt = result.activeNumber
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -70,6 +70,7 @@
 	jobs                chan compactionJob
 	results             chan compactionResult
 	compacting          bool // a compaction is running
+	compactionWanted    bool // search for a segment to compact with the next Commit
 	refusedForSpace     int  // messages refused or kept in memory only since the last Maintain
 	stats               Stats
 }
@@ -234,10 +235,10 @@
 		plan.Fits(j.config.Budget, used, len(j.locations), recordSize),
 		plan.Fits(j.config.Budget, used, len(j.locations), recordSize-int64(len(m.Body))), repeatable) {
 	case plan.NotStored:
-		j.refusedForSpace++
+		j.noteRefusedForSpace()
 		return ErrFull
 	case plan.MemoryOnly:
-		j.refusedForSpace++
+		j.noteRefusedForSpace()
 		kind, m.MemoryOnly = recordAcceptedMemoryOnly, true
 	}
 	j.maxNumber = max(j.maxNumber, m.Number)
@@ -340,6 +341,7 @@
 func (j *Journal) Commit() (acceptErr, attemptErr error) {
 	j.pollCompaction()
 	if len(j.batch) == 0 {
+		j.compactIfDue()
 		return nil, nil
 	}
 	err := j.writeBatch()
@@ -348,7 +350,7 @@
 	}
 	if err == nil {
 		j.unavailable = false
-		j.compact()
+		j.compactIfDue()
 		return nil, nil
 	}
 	if !j.unavailable {
--- /dev/null
+++ b/internal/memory/journal/reclaim_test.go
@@ -0,0 +1,89 @@
+package journal_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
+	"oatfold/internal/testdouble/faultfs"
+)
+
+// reclaimer hands messages to a journal one after another, each delivered before the next is
+// accepted, so that nothing ever needs the space of the earlier ones.
+type reclaimer struct {
+	journal *journal.Journal
+	table   *memory.Table
+	next    int
+}
+
+func newReclaimer(t *testing.T, config journal.Config) *reclaimer {
+	t.Helper()
+	config.Log = quiet
+	j, table, err := journal.Open(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.Close() })
+	return &reclaimer{journal: j, table: table}
+}
+
+// newMessage returns a message with a body of size bytes and an id of idBytes.
+func (r *reclaimer) newMessage(size, idBytes int) *memory.Message {
+	r.next++
+	return &memory.Message{
+		Number: r.table.NextNumber(), ID: fmt.Sprintf("%0*d", idBytes, r.next), Class: "price-alert", Dest: 7,
+		Deadline: wall, Body: make([]byte, size),
+	}
+}
+
+// accept hands in a message. While it is refused, the journal is maintained as often as a relay
+// does within two minutes.
+func (r *reclaimer) accept(size, idBytes int) (*memory.Message, error) {
+	const maintenanceRuns = 120
+	var err error
+	for range maintenanceRuns {
+		m := r.newMessage(size, idBytes)
+		if err = r.journal.AppendAccepted(r.table, m, true); err == nil {
+			if err, _ = r.journal.Commit(); err == nil {
+				return m, nil
+			}
+			r.table.Remove(m)
+			r.table.ForgetCompleted(m.ID)
+		}
+		r.journal.Commit()
+		r.journal.Maintain()
+		time.Sleep(100 * time.Microsecond) // a compaction may be running
+	}
+	return nil, err
+}
+
+// deliver records an attempt at m, and its completion.
+func (r *reclaimer) deliver(m *memory.Message) {
+	m.InFlight = &memory.Attempt{StartedAt: wall}
+	r.journal.AppendAttempt(wall, []*memory.Message{m})
+	r.journal.Commit()
+	r.table.Remove(m)
+	r.journal.AppendCompleted(m, false)
+	r.journal.Commit()
+}
+
+// run accepts and delivers messages one by one.
+func (r *reclaimer) run(t *testing.T, messages, size, idBytes int) {
+	t.Helper()
+	for n := range messages {
+		m, err := r.accept(size, idBytes)
+		if err != nil {
+			t.Fatalf("message %d of %d, all earlier ones are completed: %v: %+v", n, messages, err, r.journal.SpaceUse())
+		}
+		r.deliver(m)
+	}
+}
+
+// Guards against a folder that stays full of completed messages since a full one makes no commits,
+// and compaction was searched for only after commits.
+func TestFullJournalIsCompactedWithoutCommits(t *testing.T) {
+	r := newReclaimer(t, journal.Config{FS: faultfs.New(), Budget: 3e6})
+	r.run(t, 400, 64<<10, 16)
+}
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -45,6 +45,13 @@
 	)
 }
 
+// noteRefusedForSpace counts a message without space for its body, and has the next Commit search
+// for space that compaction would free.
+func (j *Journal) noteRefusedForSpace() {
+	j.refusedForSpace++
+	j.compactionWanted = true
+}
+
 // reportFull logs why messages were refused since the last call, if any were.
 func (j *Journal) reportFull() {
 	if j.refusedForSpace == 0 {
