Merge what compaction leaves of segments into one file

Cause: compaction keeps the completion records of the last 4096 messages, since their ids must not run again. What it left of a segment stayed a file of its own, however small, and a file takes whole blocks of 512 bytes: with bodies of 64 KiB each message left one, some 5,300 of which fill 3 MB. Nothing ever joined them.

Change: plan.ChooseRun finds neighbouring segments that hold nothing but completions. One job copies them into the last of them by the same atomic rename as before, then removes the others. A crash in between leaves completions twice, which does no harm; their order does not change. A file that can't be removed is marked and removed later, not copied again. A segment of completions no longer counts as one that may hold the accepted record of a later completion.

--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -49,12 +50,12 @@
 	return err
 }
 
-// compactionJob describes a segment to compact. It holds all that is needed, since it runs on
-// another goroutine.
+// compactionJob describes segments to compact into one. It holds all that is needed, since it runs
+// on another goroutine.
 type compactionJob struct {
-	segment           *segment
-	name              string
-	liveNumbers       []uint32 // numbers of pending messages with records in the segment
+	segments          []*segment // oldest first; the result replaces the last one
+	names             []string
+	liveNumbers       []uint32 // numbers of pending messages with records in the segments
 	retainFromSeq     uint64   // completion records from this sequence number on are retained
 	hasEarlierRecords bool     // an older segment may still hold the accepted record of a message
 	activeNumber      uint64   // number of the active segment when the job was created
@@ -66,9 +67,11 @@
 type compactionResult struct {
 	compactionJob
 	retainsCompletions bool // some completion records are retained for the sake of an older segment
+	completionsOnly    bool // all records of the new file are completions
 	// size is that of the new file; 0: it was empty and is removed. retainedBytes are those in it
 	// that belong to no pending message.
 	size, retainedBytes int64
+	removed             []*segment // whose files are removed
 	err                 error
 }
 
@@ -99,29 +102,18 @@
 		}
 		candidates = append(candidates, plan.Segment{
 			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: seg.retainedBytes,
-			Busy: seg.busy || i == len(j.segments)-1,
+			Busy:            seg.busy || i == len(j.segments)-1,
+			CompletionsOnly: seg.completionsOnly && !seg.merged,
 		})
 	}
 	j.candidates = candidates
-	i := plan.ChooseSegment(j.config.Budget, j.usedBytes(), len(j.locations), candidates)
-	if i < 0 {
+	first, end := plan.ChooseCompaction(j.config.Budget, j.usedBytes(), len(j.locations), candidates)
+	if first == end {
 		return
 	}
-	seg := j.segments[i]
-	job := compactionJob{
-		segment:      seg,
-		name:         seg.name(),
-		liveNumbers:  make([]uint32, 0, len(seg.messageBytes)),
-		activeNumber: j.segments[len(j.segments)-1].number,
-		completedSeq: j.completedSeq,
-		urgent:       plan.Urgent(j.config.Budget, j.usedBytes(), candidates),
-	}
-	for number := range seg.messageBytes {
-		job.liveNumbers = append(job.liveNumbers, number)
-	}
-	job.retainFromSeq = j.completedSeq - min(j.completedSeq, memory.MaxCompletedIDs) + 1
-	job.hasEarlierRecords = j.hasEarlierRecords(i)
-	seg.busy, j.compacting = true, true
+	job := j.newCompactionJob(first, end)
+	job.urgent = plan.Urgent(j.config.Budget, j.usedBytes(), candidates)
+	j.compacting = true
 	if j.config.CompactInline {
 		j.finishCompaction(job.run(j.config.FS, noPause))
 		return
@@ -129,12 +121,34 @@
 	j.jobs <- job
 }
 
+// newCompactionJob returns the job that compacts segments first to end-1 into one.
+func (j *Journal) newCompactionJob(first, end int) compactionJob {
+	job := compactionJob{
+		segments:          slices.Clone(j.segments[first:end]),
+		retainFromSeq:     j.completedSeq - min(j.completedSeq, memory.MaxCompletedIDs) + 1,
+		hasEarlierRecords: j.hasEarlierRecords(end - 1),
+		activeNumber:      j.segments[len(j.segments)-1].number,
+		completedSeq:      j.completedSeq,
+	}
+	for _, seg := range job.segments {
+		seg.busy = true
+		job.names = append(job.names, seg.name())
+		for number := range seg.messageBytes {
+			job.liveNumbers = append(job.liveNumbers, number)
+		}
+	}
+	if job.segments[0].merged {
+		job.retainFromSeq, job.hasEarlierRecords = math.MaxUint64, false // a later segment has its records
+	}
+	return job
+}
+
 // hasEarlierRecords reports whether an older segment may still hold the accepted record of a
 // message that is completed in segment index: one that was not compacted since that segment was
 // sealed.
 func (j *Journal) hasEarlierRecords(index int) bool {
 	for _, earlier := range j.segments[:index] {
-		if earlier.compactedAt <= j.segments[index].number {
+		if !earlier.completionsOnly && earlier.compactedAt <= j.segments[index].number {
 			return true
 		}
 	}
@@ -150,83 +164,129 @@
 	}
 }
 
-// finishCompaction updates the journal after the compaction of a segment.
+// finishCompaction updates the journal after a compaction.
 func (j *Journal) finishCompaction(result compactionResult) {
-	seg := result.segment
-	seg.busy, j.compacting = false, false
+	j.compacting = false
+	for _, seg := range result.segments {
+		seg.busy = false
+	}
+	target := result.segments[len(result.segments)-1]
 	if result.err != nil {
-		j.config.Log.Error("journal segment compaction failed", "segment", result.name, "err", result.err)
-		seg.retainedBytes, seg.retainedAtSeq = seg.size-seg.liveBytes, j.completedSeq // don't retry soon
+		j.config.Log.Error("journal segment compaction failed", "segment", target.name(), "err", result.err)
+		target.retainedBytes, target.retainedAtSeq = target.size-target.liveBytes, j.completedSeq // don't retry soon
 		return
 	}
 	j.compactionWanted = true // others may have waited
 	j.stats.Compactions++
 	j.stats.CompactedBytes += result.size
-	seg.compactedAt = result.activeNumber
-	if result.size == 0 {
+	if len(result.segments) > 1 {
+		j.stats.Merges++
+	}
+	for _, seg := range result.segments {
+		seg.merged, seg.retainedBytes, seg.retainsCompletions = true, 0, false
+	}
+	target.merged = false
+	target.compactedAt = result.activeNumber
+	if result.size > 0 {
+		j.setSegmentSize(target, result.size)
+		target.retainedBytes, target.retainedAtSeq, target.retainsCompletions, target.completionsOnly =
+			result.retainedBytes, result.completedSeq, result.retainsCompletions, result.completionsOnly
+	}
+	j.removeSegments(result.removed)
+}
+
+// removeSegments forgets segments whose files are removed.
+func (j *Journal) removeSegments(removed []*segment) {
+	for _, seg := range removed {
 		j.setSegmentSize(seg, 0)
-		j.segments = slices.DeleteFunc(j.segments, func(s *segment) bool { return s == seg })
-		return
 	}
-	j.setSegmentSize(seg, result.size)
-	seg.retainedBytes, seg.retainedAtSeq, seg.retainsCompletions =
-		result.retainedBytes, result.completedSeq, result.retainsCompletions
+	j.segments = slices.DeleteFunc(j.segments, func(seg *segment) bool { return slices.Contains(removed, seg) })
 }
 
-// run rewrites the segment without the records that are no longer needed, by an atomic rename.
-// Corrupt records, which were reported when the journal was opened, are removed as well.
+// run rewrites the segments as one, without the records that are no longer needed, and replaces the
+// last one by an atomic rename. Only then the others are removed: after a crash in between their
+// records are there twice. That does no harm to completions, the only records of segments that are
+// merged. Corrupt records, which were reported when the journal was opened, are removed as well.
 func (job compactionJob) run(fs FS, pause func()) (result compactionResult) {
 	result.compactionJob = job
-	raw, err := fs.Read(job.name)
-	pause()
-	if err != nil {
-		result.err = err
-		return result
+	contents := make([][]byte, len(job.names))
+	for i, name := range job.names {
+		if contents[i], result.err = fs.Read(name); result.err != nil {
+			return result
+		}
+		pause()
 	}
 	slices.Sort(job.liveNumbers)
-	compacted := append([]byte(nil), raw[:headerSize]...)
-	// The completion records of messages accepted in this segment are removed with them.
-	accepted := map[uint32]struct{}{}
-	pausedAt := 0
-	walkRecords(raw, func(offset, size int, payload []byte, err error) {
-		if offset-pausedAt > compactionChunk {
-			pausedAt = offset
-			pause()
-		}
-		if err != nil {
-			return
-		}
-		live, retain := false, false
-		if payload[0] == recordAccepted || payload[0] == recordAcceptedMemoryOnly || payload[0] == recordSnapshot {
-			forEachNumber(payload, func(number uint32) { accepted[number] = struct{}{} })
-		}
-		if payload[0] == recordCompleted {
-			reader := newRecordReader(payload, clock.Scale{})
-			number, sequence, id := uint32(reader.Uint()), reader.Uint(), reader.Bytes()
-			_, acceptedHere := accepted[number]
-			acceptedEarlier := job.hasEarlierRecords && !acceptedHere
-			result.retainsCompletions = result.retainsCompletions || acceptedEarlier
-			retain = acceptedEarlier || sequence >= job.retainFromSeq && len(id) > 0
-		} else {
-			forEachNumber(payload, func(number uint32) {
-				_, found := slices.BinarySearch(job.liveNumbers, number)
-				live = live || found
-			})
-		}
-		if retain {
-			result.retainedBytes += int64(size)
-		}
-		if live || retain {
-			compacted = append(compacted, raw[offset:offset+size]...)
-		}
-	})
-	if len(compacted) == headerSize {
-		result.err = fs.Remove(job.name)
+	last := len(job.names) - 1
+	compacted := result.filter(contents, pause)
+	if len(compacted) > headerSize {
+		result.err = writeFileAtomic(fs, job.names[last], compacted, pause)
+		result.size = int64(len(compacted))
+		result.retainedBytes += int64(headerSize)
+	} else if result.err = fs.Remove(job.names[last]); result.err == nil {
+		result.removed = append(result.removed, job.segments[last])
+	}
+	if result.err != nil {
 		return result
 	}
-	result.retainedBytes += int64(headerSize)
-	if result.err = writeFileAtomic(fs, job.name, compacted, pause); result.err == nil {
-		result.size = int64(len(compacted))
+	for i, seg := range job.segments[:last] {
+		if fs.Remove(job.names[i]) == nil { // otherwise it is compacted, and then removed, later
+			result.removed = append(result.removed, seg)
+		}
 	}
 	return result
 }
+
+// filter returns a segment with the header of the last of contents and those records of all that
+// are still needed.
+func (result *compactionResult) filter(contents [][]byte, pause func()) []byte {
+	compacted := slices.Clone(contents[len(contents)-1][:headerSize])
+	_, salt, _ := readHeader(compacted)
+	result.completionsOnly = true
+	// The completion records of messages accepted in these segments are removed with them.
+	accepted := map[uint32]struct{}{}
+	for _, raw := range contents {
+		_, rawSalt, _ := readHeader(raw)
+		pausedAt := 0
+		walkRecords(raw, func(offset, size int, payload []byte, err error) {
+			if offset-pausedAt > compactionChunk {
+				pausedAt = offset
+				pause()
+			}
+			if err != nil || !result.needed(payload, accepted, int64(size)) {
+				return
+			}
+			start := len(compacted)
+			compacted = append(compacted, raw[offset:offset+size]...)
+			applySalt(compacted[start:], rawSalt^salt)
+		})
+	}
+	return compacted
+}
+
+// needed reports whether a record of size bytes is still needed. accepted collects the numbers of
+// the messages whose accepted records were passed to it.
+func (result *compactionResult) needed(payload []byte, accepted map[uint32]struct{}, size int64) bool {
+	switch payload[0] {
+	case recordCompleted:
+		reader := newRecordReader(payload, clock.Scale{})
+		number, sequence, id := uint32(reader.Uint()), reader.Uint(), reader.Bytes()
+		_, acceptedHere := accepted[number]
+		acceptedEarlier := result.hasEarlierRecords && !acceptedHere
+		result.retainsCompletions = result.retainsCompletions || acceptedEarlier
+		if !acceptedEarlier && (sequence < result.retainFromSeq || len(id) == 0) {
+			return false
+		}
+		result.retainedBytes += size
+		return true
+	case recordAccepted, recordAcceptedMemoryOnly, recordSnapshot:
+		forEachNumber(payload, func(number uint32) { accepted[number] = struct{}{} })
+	}
+	live := false
+	forEachNumber(payload, func(number uint32) {
+		_, found := slices.BinarySearch(result.liveNumbers, number)
+		live = live || found
+	})
+	result.completionsOnly = result.completionsOnly && !live
+	return live
+}
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -78,7 +78,8 @@
 // Stats counts events since the journal was opened. Segments and UsedBytes are current values.
 type Stats struct {
 	BytesWritten, Commits, Records, Failures int64
-	Compactions, CompactedBytes              int64 // compacted segments, and bytes written for them
+	Compactions, CompactedBytes              int64 // compactions, and bytes written for them
+	Merges                                   int64 // compactions that merged several segments
 	Segments                                 int
 	UsedBytes                                int64
 }
@@ -92,6 +93,8 @@
 	retainedAtSeq      uint64           // completedSeq when retainedBytes was set
 	compactedAt        uint64           // number of the active segment at the last compaction; 0: never compacted
 	retainsCompletions bool             // it holds completion records of messages that an older segment may contain
+	completionsOnly    bool             // it holds completion records and no others
+	merged             bool             // its records are in a later segment as well: its file is to be removed
 	messageBytes       map[uint32]int64 // bytes of records of pending messages, by message number
 	busy               bool             // it is being compacted, or is unreadable
 }
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -26,6 +26,8 @@
 	LiveBytes     int64 // records of pending messages
 	RetainedBytes int64 // other records that the last compaction had to retain
 	Busy          bool  // active, or being compacted
+	// CompletionsOnly says that all records are completions, so that it may be merged.
+	CompletionsOnly bool
 }
 
 // DeadBytes returns the number of bytes that compaction would free.
@@ -98,6 +100,44 @@
 	return best
 }
 
+// ChooseCompaction returns the segments to compact into one: first to end-1, none if both are equal.
+// It chooses between one segment and a run that is worth merging by what that frees.
+func ChooseCompaction(budget, used int64, live int, segments []Segment) (first, end int) {
+	first, end, freed := ChooseRun(budget, segments)
+	if i := ChooseSegment(budget, used, live, segments); i >= 0 && segments[i].DeadBytes() >= freed {
+		return i, i + 1
+	}
+	return first, end
+}
+
+// Number of segments that are merged at once.
+const (
+	MinRun = 8
+	maxRun = 256
+)
+
+// ChooseRun returns a run of segments to merge, first to end-1, and the bytes that this frees on
+// disk; none if first and end are equal. Each file uses whole blocks, so that many small ones, of
+// which completions are all that is left, take far more space than one. A run is worth merging if
+// it has MinRun segments, and together they have at most the size of a full one.
+func ChooseRun(budget int64, segments []Segment) (first, end int, freed int64) {
+	from, size, onDisk := 0, int64(0), int64(0)
+	for i, segment := range segments {
+		if segment.Busy || !segment.CompletionsOnly {
+			from, size, onDisk = i+1, 0, 0
+			continue
+		}
+		if size+segment.Size > SegmentSize(budget) || i-from == maxRun {
+			from, size, onDisk = i, 0, 0
+		}
+		size, onDisk = size+segment.Size, onDisk+DiskSize(segment.Size)
+		if n := onDisk - DiskSize(size); i+1-from >= MinRun && n > freed {
+			first, end, freed = from, i+1, n
+		}
+	}
+	return first, end, freed
+}
+
 // maxBacklog is the number of mostly dead segments that may wait for compaction.
 const maxBacklog = 2
 
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -7,6 +7,7 @@
 
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
+	"oatfold/internal/memory/journal/plan"
 	"oatfold/internal/testdouble/faultfs"
 )
 
@@ -69,6 +70,23 @@
 	r.journal.Commit()
 }
 
+// settle maintains the journal until compaction has nothing left to do.
+func (r *reclaimer) settle(t *testing.T) {
+	t.Helper()
+	idle := 0
+	for n := 0; idle < 20; n++ {
+		if n == 20_000 {
+			t.Fatalf("compaction does not come to an end: %+v", r.journal.SpaceUse())
+		}
+		compactions := r.journal.Stats().Compactions
+		r.journal.Maintain()
+		time.Sleep(100 * time.Microsecond)
+		if idle++; r.journal.SpaceUse().Compacting || r.journal.Stats().Compactions > compactions {
+			idle = 0
+		}
+	}
+}
+
 // run accepts and delivers messages one by one.
 func (r *reclaimer) run(t *testing.T, messages, size, idBytes int) {
 	t.Helper()
@@ -87,3 +105,19 @@
 	r := newReclaimer(t, journal.Config{FS: faultfs.New(), Budget: 3e6})
 	r.run(t, 400, 64<<10, 16)
 }
+
+// Guards against a folder that fills with what compaction leaves: the ids of completed messages,
+// which took a block of their own for each segment and were never merged.
+func TestCompletionsAreMerged(t *testing.T) {
+	disk := faultfs.New()
+	r := newReclaimer(t, journal.Config{FS: disk, Budget: 3e6})
+	r.run(t, 5600, 64<<10, 16)
+	r.settle(t)
+	if use := r.journal.SpaceUse(); use.Segments > 2*plan.MinRun || use.Used > 3e6/4 {
+		t.Errorf("%+v", use)
+	}
+	_, table, err := journal.Open(journal.Config{FS: disk.Restart(), Budget: 3e6, Log: quiet})
+	if err != nil || len(table.All()) > 0 || table.CompletedCount() < memory.MaxCompletedIDs {
+		t.Errorf("%d ids, %d messages after a restart: %v", table.CompletedCount(), len(table.All()), err)
+	}
+}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -108,7 +108,9 @@
 		return nil
 	}
 	j.maxNumber = max(j.maxNumber, maxNumber)
+	seg.completionsOnly = true
 	end := walkRecords(raw, func(offset, size int, payload []byte, err error) {
+		seg.completionsOnly = seg.completionsOnly && err == nil && payload[0] == recordCompleted
 		if err == nil {
 			if err = replay.apply(payload); err == nil {
 				forEachNumber(payload, func(number uint32) { seg.messageBytes[number] += int64(size) })
