Fix failed compactions that a full folder never tries again

What callers saw: where compaction failed for a moment (ENOSPC, EIO) while the folder filled, the relay refused everything for good afterwards, with the disk healthy again and nothing held.

Cause: a failed compaction booked all of the segment that was dead as retained, to be looked at again after 4,096 more completions. A full folder accepts nothing, so nothing completes, so it never looked again.

Change: a segment whose compaction failed waits for two runs of Maintain, 1 to 2 s. Others go on meanwhile, since the cause may lie in one file. Its first failure is logged, not each.

--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -102,7 +102,7 @@
 		}
 		candidates = append(candidates, plan.Segment{
 			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: seg.retainedBytes,
-			Busy:            seg.busy || i == len(j.segments)-1,
+			Busy:            seg.busy || seg.retryAt > j.maintenanceRuns || i == len(j.segments)-1,
 			CompletionsOnly: seg.completionsOnly && !seg.merged,
 		})
 	}
@@ -172,8 +172,7 @@
 	}
 	target := result.segments[len(result.segments)-1]
 	if result.err != nil {
-		j.config.Log.Error("journal segment compaction failed", "segment", target.name(), "err", result.err)
-		target.retainedBytes, target.retainedAtSeq = target.size-target.liveBytes, j.completedSeq // don't retry soon
+		j.putOffCompaction(result)
 		return
 	}
 	j.compactionWanted = true // others may have waited
@@ -185,7 +184,7 @@
 	for _, seg := range result.segments {
 		seg.merged, seg.retainedBytes, seg.retainsCompletions = true, 0, false
 	}
-	target.merged = false
+	target.merged, target.retryAt = false, 0
 	target.compactedAt = result.activeNumber
 	if result.size > 0 {
 		j.setSegmentSize(target, result.size)
@@ -195,6 +194,21 @@
 	j.removeSegments(result.removed)
 }
 
+// failedCompactionDelay is how many runs of Maintain a segment waits after a failed compaction.
+const failedCompactionDelay = 2
+
+// putOffCompaction has the segments of a failed compaction tried again later. Others go on: the
+// cause may lie in one file.
+func (j *Journal) putOffCompaction(result compactionResult) {
+	j.compactionWanted = true
+	for i, seg := range result.segments {
+		if seg.retryAt == 0 {
+			j.config.Log.Error("journal segment compaction failed", "segment", result.names[i], "err", result.err)
+		}
+		seg.retryAt = j.maintenanceRuns + failedCompactionDelay
+	}
+}
+
 // removeSegments forgets segments whose files are removed.
 func (j *Journal) removeSegments(removed []*segment) {
 	for _, seg := range removed {
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -62,6 +62,7 @@
 	arena               []byte // encoded records of batch
 	writeBuffer         []byte
 	candidates          []plan.Segment
+	maintenanceRuns     int64  // number of calls of Maintain
 	lastCompactionCheck int64  // commit count at the last search for a segment to compact
 	completedSeq        uint64 // sequence number of the last completed message
 	maxNumber           uint32 // largest message number
@@ -95,6 +96,7 @@
 	retainsCompletions bool             // it holds completion records of messages that an older segment may contain
 	completionsOnly    bool             // it holds completion records and no others
 	merged             bool             // its records are in a later segment as well: its file is to be removed
+	retryAt            int64            // run of Maintain from which on a failed compaction is tried again; 0: none failed
 	messageBytes       map[uint32]int64 // bytes of records of pending messages, by message number
 	busy               bool             // it is being compacted, or is unreadable
 }
@@ -377,6 +379,7 @@
 // Maintain is to be called at intervals, even when nothing is written. It handles finished
 // compactions and detects that a full disk has space again.
 func (j *Journal) Maintain() {
+	j.maintenanceRuns++
 	j.pollCompaction()
 	if j.createReserve(); j.unavailable && (j.reserveSize > 0 || j.reserveTarget() == 0) {
 		j.unavailable = false
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,3 +123,48 @@
 		t.Errorf("%d ids, %d messages after a restart: %v", table.CompletedCount(), len(table.All()), err)
 	}
 }
+
+// unwritableCopies is a file system that can refuse to write or remove segments beside the active
+// one, as a full or faulty disk does.
+type unwritableCopies struct {
+	*faultfs.FS
+	broken bool
+}
+
+func (fs *unwritableCopies) Create(name string) (journal.File, error) {
+	if fs.broken && strings.HasSuffix(name, ".tmp") {
+		return nil, syscall.ENOSPC
+	}
+	return fs.FS.Create(name)
+}
+
+func (fs *unwritableCopies) Remove(name string) error {
+	if fs.broken {
+		return syscall.EIO
+	}
+	return fs.FS.Remove(name)
+}
+
+// Guards against a folder that stays full after compactions that failed for a moment: they were put
+// off until thousands of messages more had completed, which a full folder never accepts.
+func TestFailedCompactionIsRetried(t *testing.T) {
+	for _, size := range []int{200, 20_000, 64 << 10} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			disk := &unwritableCopies{FS: faultfs.New()}
+			r := newReclaimer(t, journal.Config{FS: disk, Budget: 3e6, CompactInline: true})
+			disk.broken = true
+			for {
+				m, err := r.accept(size, 16)
+				if err != nil {
+					break
+				}
+				r.deliver(m)
+			}
+			disk.broken = false
+			r.run(t, 100, size, 16)
+			if use := r.journal.SpaceUse(); use.Used > use.Budget/2 {
+				t.Errorf("%+v", use)
+			}
+		})
+	}
+}
