--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -90,7 +90,7 @@
 
 // compact starts the compaction of a segment if that is worthwhile.
 func (j *Journal) compact() {
-	if j.compacting || j.needsTruncate {
+	if j.compacting {
 		return
 	}
 	j.compactionWanted, j.lastCompactionCheck = false, j.stats.Commits
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -377,10 +377,11 @@
 }
 
 // Maintain is to be called at intervals, even when nothing is written. It handles finished
-// compactions and detects that a full disk has space again.
+// compactions, repeats what a faulty disk refused, and detects that a full disk has space again.
 func (j *Journal) Maintain() {
 	j.maintenanceRuns++
 	j.pollCompaction()
+	j.truncateActive() // if it fails, the next write or call tries again
 	if j.createReserve(); j.unavailable && (j.reserveSize > 0 || j.reserveTarget() == 0) {
 		j.unavailable = false
 		j.config.Log.Info("journal can be written again; accepting new messages")
@@ -406,11 +407,8 @@
 // writeBatch appends the batch to the active segment, or to a new one if that is full or refused
 // the last write. If it fails, the batch is unchanged.
 func (j *Journal) writeBatch() error {
-	if j.needsTruncate {
-		if err := j.activeFile.Truncate(j.validSize); err != nil {
-			return err
-		}
-		j.needsTruncate = false
+	if err := j.truncateActive(); err != nil {
+		return err
 	}
 	// After a failed write a new segment is used, since a limit on the file size would fail the
 	// next write as well.
@@ -461,6 +459,18 @@
 	return nil
 }
 
+// truncateActive removes what a failed write left in the active segment, if that is still due.
+func (j *Journal) truncateActive() error {
+	if !j.needsTruncate {
+		return nil
+	}
+	if err := j.activeFile.Truncate(j.validSize); err != nil {
+		return err
+	}
+	j.needsTruncate = false
+	return nil
+}
+
 // needsAtomicBatch reports whether the batch has several records, at least one of which is void if
 // not all are written. It prevents a restart from accepting messages that were rejected because
 // their write failed half way and could not be truncated.
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -168,3 +168,33 @@
 		})
 	}
 }
+
+// Guards against a folder that stays full since a half-written record could not be truncated for a
+// moment: compaction waited for that, and only a further write, which a full folder never makes,
+// tried it again.
+func TestPendingTruncationDoesNotStopCompaction(t *testing.T) {
+	disk := &unwritableCopies{FS: faultfs.New()}
+	r := newReclaimer(t, journal.Config{FS: disk, Budget: 3e6, CompactInline: true})
+	disk.broken = true
+	for {
+		m, err := r.accept(64<<10, 16)
+		if err != nil {
+			break
+		}
+		r.deliver(m)
+	}
+	half := disk.OperationCount() + 1
+	disk.InjectFault(half, faultfs.Short)
+	for n := range 4 {
+		disk.InjectFault(half+1+n, faultfs.Error)
+	}
+	if err := r.journal.AppendAccepted(r.table, r.newMessage(2000, 16), true); err != nil {
+		t.Fatalf("no space for a small message: %v", err)
+	}
+	if acceptErr, _ := r.journal.Commit(); acceptErr == nil {
+		t.Fatal("the write succeeded")
+	}
+	r.table.Remove(r.table.All()[uint32(r.next)])
+	disk.broken = false
+	r.run(t, 100, 64<<10, 16)
+}
