Bound the bytes of remembered ids, so that they can't fill a small folder

What callers saw: with a small disk limit, or long ids, a relay refused everything for good with nothing held.

Cause: the ids of the last 4096 completed messages are kept on disk, however long they are: up to 1.1 MB. They are forgotten only as further messages complete, which a folder full of them never accepts.

What a segment still retains follows from the sequence numbers in it, so a file of expired completions is removed when it is wanted, not after a count of its own. A file that is half expired is rewritten; before that only while messages are refused.

--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"oatfold/internal/clock"
-	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal/plan"
 )
 
@@ -59,20 +58,17 @@
 	retainFromSeq     uint64   // completion records from this sequence number on are retained
 	hasEarlierRecords bool     // an older segment may still hold the accepted record of a message
 	activeNumber      uint64   // number of the active segment when the job was created
-	completedSeq      uint64   // of the journal at the same time
 	urgent            bool     // space is short: run without pauses
 }
 
 // compactionResult is the outcome of a compactionJob.
 type compactionResult struct {
 	compactionJob
-	retainsCompletions bool // some completion records are retained for the sake of an older segment
-	completionsOnly    bool // all records of the new file are completions
-	// size is that of the new file; 0: it was empty and is removed. retainedBytes are those in it
-	// that belong to no pending message.
-	size, retainedBytes int64
-	removed             []*segment // whose files are removed
-	err                 error
+	size            int64               // of the new file; 0: it was empty and is removed
+	retained        retainedCompletions // in the new file
+	completionsOnly bool                // all records of the new file are completions
+	removed         []*segment          // whose files are removed
+	err             error
 }
 
 // commitsPerCompactionCheck is the number of commits between two searches for a segment to compact,
@@ -96,18 +92,14 @@
 	j.compactionWanted, j.lastCompactionCheck = false, j.stats.Commits
 	candidates := j.candidates[:0]
 	for i, seg := range j.segments {
-		if seg.retainedBytes > 0 && j.completedSeq-seg.retainedAtSeq > memory.MaxCompletedIDs ||
-			seg.retainsCompletions && !j.hasEarlierRecords(i) {
-			seg.retainedBytes, seg.retainsCompletions = 0, false // the retained records are no longer needed
-		}
 		candidates = append(candidates, plan.Segment{
-			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: seg.retainedBytes,
+			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: j.retainedBytes(i),
 			Busy:            seg.busy || seg.retryAt > j.maintenanceRuns || i == len(j.segments)-1,
 			CompletionsOnly: seg.completionsOnly && !seg.merged,
 		})
 	}
 	j.candidates = candidates
-	first, end := plan.ChooseCompaction(j.config.Budget, j.usedBytes(), len(j.locations), candidates)
+	first, end := plan.ChooseCompaction(j.space(), candidates)
 	if first == end {
 		return
 	}
@@ -121,14 +113,20 @@
 	j.jobs <- job
 }
 
+// retainedBytes returns the bytes of segment index that compaction would have to retain beside the
+// records of pending messages.
+func (j *Journal) retainedBytes(index int) int64 {
+	seg := j.segments[index]
+	return seg.retainedBytes(j.remembered.RetainFrom(), seg.retained.earlierBytes > 0 && j.hasEarlierRecords(index))
+}
+
 // newCompactionJob returns the job that compacts segments first to end-1 into one.
 func (j *Journal) newCompactionJob(first, end int) compactionJob {
 	job := compactionJob{
 		segments:          slices.Clone(j.segments[first:end]),
-		retainFromSeq:     j.completedSeq - min(j.completedSeq, memory.MaxCompletedIDs) + 1,
+		retainFromSeq:     j.remembered.RetainFrom(),
 		hasEarlierRecords: j.hasEarlierRecords(end - 1),
 		activeNumber:      j.segments[len(j.segments)-1].number,
-		completedSeq:      j.completedSeq,
 	}
 	for _, seg := range job.segments {
 		seg.busy = true
@@ -182,14 +180,13 @@
 		j.stats.Merges++
 	}
 	for _, seg := range result.segments {
-		seg.merged, seg.retainedBytes, seg.retainsCompletions = true, 0, false
+		seg.merged = true
 	}
 	target.merged, target.retryAt = false, 0
 	target.compactedAt = result.activeNumber
 	if result.size > 0 {
 		j.setSegmentSize(target, result.size)
-		target.retainedBytes, target.retainedAtSeq, target.retainsCompletions, target.completionsOnly =
-			result.retainedBytes, result.completedSeq, result.retainsCompletions, result.completionsOnly
+		target.retained, target.completionsOnly = result.retained, result.completionsOnly
 	}
 	j.removeSegments(result.removed)
 }
@@ -236,7 +233,6 @@
 	if len(compacted) > headerSize {
 		result.err = writeFileAtomic(fs, job.names[last], compacted, pause)
 		result.size = int64(len(compacted))
-		result.retainedBytes += int64(headerSize)
 	} else if result.err = fs.Remove(job.names[last]); result.err == nil {
 		result.removed = append(result.removed, job.segments[last])
 	}
@@ -287,12 +283,11 @@
 		number, sequence, id := uint32(reader.Uint()), reader.Uint(), reader.Bytes()
 		_, acceptedHere := accepted[number]
 		acceptedEarlier := result.hasEarlierRecords && !acceptedHere
-		result.retainsCompletions = result.retainsCompletions || acceptedEarlier
-		if !acceptedEarlier && (sequence < result.retainFromSeq || len(id) == 0) {
-			return false
+		remembered := sequence >= result.retainFromSeq && len(id) > 0
+		if remembered || acceptedEarlier {
+			result.retained.add(sequence, size, remembered)
 		}
-		result.retainedBytes += size
-		return true
+		return remembered || acceptedEarlier
 	case recordAccepted, recordAcceptedMemoryOnly, recordSnapshot:
 		forEachNumber(payload, func(number uint32) { accepted[number] = struct{}{} })
 	}
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -65,6 +65,7 @@
 	maintenanceRuns     int64  // number of calls of Maintain
 	lastCompactionCheck int64  // commit count at the last search for a segment to compact
 	completedSeq        uint64 // sequence number of the last completed message
+	remembered          *plan.CompletionWindow
 	maxNumber           uint32 // largest message number
 	unavailable         bool   // the last write failed
 	reserveSize         int64  // size of the reserve file; 0: there is none
@@ -72,6 +73,7 @@
 	results             chan compactionResult
 	compacting          bool // a compaction is running
 	compactionWanted    bool // search for a segment to compact with the next Commit
+	refused             bool // the latest message was refused, or is in memory only, for lack of space
 	refusedForSpace     int  // messages refused or kept in memory only since the last Maintain
 	stats               Stats
 }
@@ -85,24 +87,6 @@
 	UsedBytes                                int64
 }
 
-// segment is the state of one segment file.
-type segment struct {
-	number             uint64
-	size               int64
-	liveBytes          int64            // bytes of records of pending messages
-	retainedBytes      int64            // other bytes that the last compaction had to retain
-	retainedAtSeq      uint64           // completedSeq when retainedBytes was set
-	compactedAt        uint64           // number of the active segment at the last compaction; 0: never compacted
-	retainsCompletions bool             // it holds completion records of messages that an older segment may contain
-	completionsOnly    bool             // it holds completion records and no others
-	merged             bool             // its records are in a later segment as well: its file is to be removed
-	retryAt            int64            // run of Maintain from which on a failed compaction is tried again; 0: none failed
-	messageBytes       map[uint32]int64 // bytes of records of pending messages, by message number
-	busy               bool             // it is being compacted, or is unreadable
-}
-
-func (s *segment) name() string { return fmt.Sprintf("%012d%s", s.number, segmentExt) }
-
 // location counts the bytes that the records of one message take in one segment. locations holds
 // all of one message; the first is stored inline to save an allocation.
 type (
@@ -189,8 +173,11 @@
 	return j.activeFile.Close()
 }
 
-// SetBudget sets the disk budget in bytes. Existing data is kept.
-func (j *Journal) SetBudget(budget int64) { j.config.Budget = budget }
+// SetBudget sets the disk budget in bytes. Existing messages are kept.
+func (j *Journal) SetBudget(budget int64) {
+	j.config.Budget = budget
+	j.remembered.SetLimit(plan.CompletionLimit(budget))
+}
 
 // usedBytes returns the space that all files use on disk.
 func (j *Journal) usedBytes() int64 { return j.segmentBytes + j.reserveSize }
@@ -239,6 +226,8 @@
 	switch plan.ChooseBodyStorage(journaledBytes, memoryOnlyBytes, j.config.MaxBodyBytes, int64(len(m.Body)),
 		plan.Fits(j.config.Budget, used, len(j.locations), recordSize),
 		plan.Fits(j.config.Budget, used, len(j.locations), recordSize-int64(len(m.Body))), repeatable) {
+	case plan.MemoryAndJournal, plan.JournalOnly:
+		j.refused = false
 	case plan.NotStored:
 		j.noteRefusedForSpace()
 		return ErrFull
@@ -326,8 +315,9 @@
 	j.endRecord(entry{number: m.Number})
 }
 
-// AppendCompleted records that m is completed. Its id is remembered for a while, unless the message
-// is resubmittable: it may then be accepted again.
+// AppendCompleted records that m is completed. Its id is remembered, also by later processes, until
+// memory.MaxCompletedIDs later ones are, or a quarter of the budget holds later ones; unless the
+// message is resubmittable: it may then be accepted again.
 func (j *Journal) AppendCompleted(m *memory.Message, resubmittable bool) {
 	j.completedSeq++
 	id := m.ID
@@ -337,6 +327,12 @@
 	j.beginRecord()
 	j.arena = appendText(binary.AppendUvarint(beginPayload(j.arena, recordCompleted, m.Number), j.completedSeq), id)
 	j.endRecord(entry{completed: m.Number})
+	size := 0
+	if id != "" {
+		latest := j.batch[len(j.batch)-1]
+		size = latest.end - latest.start
+	}
+	j.remembered.Add(j.completedSeq, int64(size))
 }
 
 // Commit writes the batch of records with one write. If acceptErr is set, the messages accepted
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -80,31 +80,55 @@
 // ShouldSeal reports whether a segment of that size is full before more bytes are added.
 func ShouldSeal(budget, size, more int64) bool { return size > 0 && size+more > SegmentSize(budget) }
 
-// ChooseSegment returns the index of the segment to compact, or -1. A segment with at least
-// BlockSize dead bytes is worth compacting if it has no live bytes, if half of it and MinDeadBytes
-// are dead, or if space is short; so is one that holds only its header. The segment with the most
-// dead bytes is chosen, the oldest among equals.
-func ChooseSegment(budget, used int64, live int, segments []Segment) int {
+// Space is what the choice of a compaction depends on beside the segments.
+type Space struct {
+	Budget, Used int64 // Used is the space that all files use
+	Pending      int   // number of pending messages
+	Refused      bool  // the latest message was refused, or is in memory only, for lack of space
+}
+
+// short reports whether little space is left beside what is reserved.
+func (s Space) short() bool {
+	return s.Used+ReservedBytes(s.Budget, s.Pending)+2*SegmentSize(s.Budget) > s.Budget
+}
+
+// ChooseSegment returns the index of the segment to compact, or -1: the one with the most dead bytes
+// of those that are worth it, the oldest among equals.
+func ChooseSegment(space Space, segments []Segment) int {
 	best, mostDead := -1, int64(0)
-	lowSpace := used+ReservedBytes(budget, live)+2*SegmentSize(budget) > budget
 	for i, segment := range segments {
-		dead := segment.DeadBytes()
-		empty := segment.LiveBytes == 0 && segment.RetainedBytes == 0
-		if segment.Busy || dead < BlockSize && !empty || dead <= mostDead {
-			continue
-		}
-		if segment.LiveBytes == 0 || 2*dead >= segment.Size && dead >= MinDeadBytes || lowSpace {
+		if dead := segment.DeadBytes(); dead > mostDead && worthCompacting(space, segment) {
 			best, mostDead = i, dead
 		}
 	}
 	return best
 }
 
+// worthCompacting reports whether a segment that is not busy has at least BlockSize dead bytes, and
+// no others, or half of it and MinDeadBytes are dead, or space is short; or whether it holds only its
+// header. Completions are rewritten if half of them are dead, or messages are refused: they expire
+// one by one, and would be rewritten for each few of them.
+func worthCompacting(space Space, segment Segment) bool {
+	dead := segment.DeadBytes()
+	needed := segment.LiveBytes + segment.RetainedBytes
+	switch {
+	case segment.Busy:
+		return false
+	case needed == 0:
+		return true
+	case dead < BlockSize:
+		return false
+	case segment.CompletionsOnly:
+		return 2*dead >= segment.Size || space.Refused
+	}
+	return segment.LiveBytes == 0 || 2*dead >= segment.Size && dead >= MinDeadBytes || space.short()
+}
+
 // ChooseCompaction returns the segments to compact into one: first to end-1, none if both are equal.
 // It chooses between one segment and a run that is worth merging by what that frees.
-func ChooseCompaction(budget, used int64, live int, segments []Segment) (first, end int) {
-	first, end, freed := ChooseRun(budget, segments)
-	if i := ChooseSegment(budget, used, live, segments); i >= 0 && segments[i].DeadBytes() >= freed {
+func ChooseCompaction(space Space, segments []Segment) (first, end int) {
+	first, end, freed := ChooseRun(space.Budget, segments)
+	if i := ChooseSegment(space, segments); i >= 0 && segments[i].DeadBytes() >= freed {
 		return i, i + 1
 	}
 	return first, end
--- a/internal/memory/journal/plan/plan_test.go
+++ b/internal/memory/journal/plan/plan_test.go
@@ -49,19 +49,25 @@
 	mostlyLive, halfDead, allDead := Segment{Size: 100_000, LiveBytes: 99_000},
 		Segment{Size: 100_000, LiveBytes: 40_000}, Segment{Size: 90_000}
 	busy, retained := Segment{Size: 100_000, Busy: true}, Segment{Size: 10_000, RetainedBytes: 10_000}
+	expired := Segment{Size: 10_000, RetainedBytes: 9000, CompletionsOnly: true}
+	halfExpired := Segment{Size: 10_000, RetainedBytes: 5000, CompletionsOnly: true}
 	for _, c := range []struct {
-		name string
-		used int64
-		all  []Segment
-		want int
+		name    string
+		used    int64
+		refused bool
+		all     []Segment
+		want    int
 	}{
-		{"nothing to free", 1e6, []Segment{mostlyLive, busy, retained}, -1},
-		{"half dead", 1e6, []Segment{mostlyLive, halfDead}, 1},
-		{"more dead", 1e6, []Segment{halfDead, allDead, busy}, 1},
-		{"space short", 2.9e6, []Segment{retained, mostlyLive}, 1},
-		{"header only", 1e6, []Segment{{Size: 24}, mostlyLive}, 0},
+		{"nothing to free", 1e6, true, []Segment{mostlyLive, busy, retained}, -1},
+		{"half dead", 1e6, false, []Segment{mostlyLive, halfDead}, 1},
+		{"more dead", 1e6, false, []Segment{halfDead, allDead, busy}, 1},
+		{"space short", 2.9e6, false, []Segment{retained, mostlyLive}, 1},
+		{"header only", 1e6, false, []Segment{{Size: 24}, mostlyLive}, 0},
+		{"some completions expired", 2.9e6, false, []Segment{retained, expired}, -1},
+		{"half of the completions expired", 1e6, false, []Segment{expired, halfExpired}, 1},
+		{"some completions expired, messages are refused", 1e6, true, []Segment{retained, expired}, 1},
 	} {
-		if got := ChooseSegment(budget, c.used, 100, c.all); got != c.want {
+		if got := ChooseSegment(Space{Budget: budget, Used: c.used, Pending: 100, Refused: c.refused}, c.all); got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
 		}
 	}
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -19,6 +19,7 @@
 	journal *journal.Journal
 	table   *memory.Table
 	next    int
+	refused map[string]bool // ids of messages that were not accepted
 }
 
 func newReclaimer(t *testing.T, config journal.Config) *reclaimer {
@@ -29,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { j.Close() })
-	return &reclaimer{journal: j, table: table}
+	return &reclaimer{journal: j, table: table, refused: map[string]bool{}}
 }
 
 // newMessage returns a message with a body of size bytes and an id of idBytes.
@@ -55,9 +56,13 @@
 			r.table.Remove(m)
 			r.table.ForgetCompleted(m.ID)
 		}
+		r.refused[m.ID] = true
 		r.journal.Commit()
 		r.journal.Maintain()
-		time.Sleep(100 * time.Microsecond) // a compaction may be running
+		for r.journal.SpaceUse().Compacting {
+			time.Sleep(50 * time.Microsecond)
+			r.journal.Commit()
+		}
 	}
 	return nil, err
 }
@@ -198,3 +203,30 @@
 	disk.broken = false
 	r.run(t, 100, 64<<10, 16)
 }
+
+// Guards against a small folder that fills with the ids of completed messages: their number was
+// bounded, their bytes were not, and ids are forgotten only as further messages complete.
+func TestRememberedIDsLeaveSpace(t *testing.T) {
+	for _, c := range []struct {
+		budget        int64
+		size, idBytes int
+	}{{300e3, 4000, 16}, {300e3, 0, 256}, {500e3, 64 << 10, 256}, {1e6, 212, 256}} {
+		t.Run(fmt.Sprintf("%d bytes, bodies of %d, ids of %d", c.budget, c.size, c.idBytes), func(t *testing.T) {
+			t.Parallel()
+			disk := faultfs.New()
+			r := newReclaimer(t, journal.Config{FS: disk, Budget: c.budget})
+			const messages = 5600
+			r.run(t, messages, c.size, c.idBytes)
+			_, table, err := journal.Open(journal.Config{FS: disk.Restart(), Budget: c.budget, Log: quiet})
+			if err != nil {
+				t.Fatal(err)
+			}
+			remembered := int(plan.CompletionLimit(c.budget)) / (c.idBytes + 24)
+			for n := r.next - remembered/2; n <= r.next; n++ {
+				if id := fmt.Sprintf("%0*d", c.idBytes, n); r.refused[id] == table.RecentlyCompleted(id) {
+					t.Fatalf("id %d of %d after a restart: refused %t, remembered %t", n, r.next, r.refused[id], !r.refused[id])
+				}
+			}
+		})
+	}
+}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal/plan"
 )
@@ -16,7 +17,10 @@
 // Open replays the journal in config.FS and starts a new segment. It returns the journal and the
 // table of messages that it holds.
 func Open(config Config) (*Journal, *memory.Table, error) {
-	j := &Journal{config: config, locations: map[uint32]locations{}}
+	j := &Journal{
+		config: config, locations: map[uint32]locations{},
+		remembered: plan.NewCompletionWindow(memory.MaxCompletedIDs, plan.CompletionLimit(config.Budget)),
+	}
 	names, err := config.FS.List()
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
@@ -113,6 +117,9 @@
 		seg.completionsOnly = seg.completionsOnly && err == nil && payload[0] == recordCompleted
 		if err == nil {
 			if err = replay.apply(payload); err == nil {
+				if payload[0] == recordCompleted {
+					j.rememberCompletion(payload, size)
+				}
 				forEachNumber(payload, func(number uint32) { seg.messageBytes[number] += int64(size) })
 				return
 			}
@@ -131,6 +138,17 @@
 	return nil
 }
 
+// rememberCompletion counts the completion record of a loaded segment.
+func (j *Journal) rememberCompletion(payload []byte, size int) {
+	reader := newRecordReader(payload, clock.Scale{})
+	reader.Uint() // the message's number
+	sequence := reader.Uint()
+	if len(reader.Bytes()) == 0 {
+		size = 0
+	}
+	j.remembered.Add(sequence, int64(size))
+}
+
 // indexLiveRecords finds the records of pending messages in all segments, and adds up the sizes of
 // the segments on disk.
 func (j *Journal) indexLiveRecords(table *memory.Table) {
--- /dev/null
+++ b/internal/memory/journal/segment.go
@@ -0,0 +1,68 @@
+package journal
+
+import "fmt"
+
+// segment is the state of one segment file.
+type segment struct {
+	number          uint64
+	size            int64
+	liveBytes       int64            // bytes of records of pending messages
+	messageBytes    map[uint32]int64 // the same by message number
+	retained        retainedCompletions
+	completionsOnly bool   // it holds completion records and no others
+	compactedAt     uint64 // number of the active segment at the last compaction; 0: never compacted
+	merged          bool   // its records are in a later segment as well: its file is to be removed
+	retryAt         int64  // run of Maintain from which on a failed compaction is tried again; 0: none failed
+	busy            bool   // it is being compacted, or is unreadable
+}
+
+func (s *segment) name() string { return fmt.Sprintf("%012d%s", s.number, segmentExt) }
+
+// retainedBytes returns the bytes that compaction would have to retain beside the records of pending
+// messages, as far as an earlier compaction has told. Completions are remembered from
+// rememberedFrom on; hasEarlier says that an older segment may still hold accepted records.
+func (s *segment) retainedBytes(rememberedFrom uint64, hasEarlier bool) int64 {
+	if s.compactedAt == 0 || s.merged {
+		return 0
+	}
+	bytes := s.retained.rememberedBytes(rememberedFrom)
+	if hasEarlier {
+		bytes += s.retained.earlierBytes
+	}
+	if bytes == 0 && s.liveBytes == 0 {
+		return 0 // the file can be removed
+	}
+	return bytes + int64(headerSize)
+}
+
+// retainedCompletions counts the completion records that a compaction retained.
+type retainedCompletions struct {
+	idBytes           int64  // bytes of those that are retained for their ids
+	firstSeq, lastSeq uint64 // sequence numbers of these
+	earlierBytes      int64  // bytes of those that are retained only for the accepted record in an older segment
+}
+
+// add counts a record of size bytes. remembered says that it is retained for its id.
+func (r *retainedCompletions) add(sequence uint64, size int64, remembered bool) {
+	if !remembered {
+		r.earlierBytes += size
+		return
+	}
+	if r.idBytes == 0 {
+		r.firstSeq = sequence
+	}
+	r.idBytes += size
+	r.firstSeq, r.lastSeq = min(r.firstSeq, sequence), max(r.lastSeq, sequence)
+}
+
+// rememberedBytes estimates the bytes of completions whose sequence number is from on or later.
+// Records count as equally long.
+func (r *retainedCompletions) rememberedBytes(from uint64) int64 {
+	switch {
+	case r.idBytes == 0 || from > r.lastSeq:
+		return 0
+	case from <= r.firstSeq:
+		return r.idBytes
+	}
+	return r.idBytes * int64(r.lastSeq-from+1) / int64(r.lastSeq-r.firstSeq+1)
+}
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -29,8 +29,9 @@
 			use.Active = seg.size
 			continue
 		}
-		use.Retained += seg.retainedBytes
-		use.Dead += plan.Segment{Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: seg.retainedBytes}.DeadBytes()
+		retained := j.retainedBytes(i)
+		use.Retained += retained
+		use.Dead += plan.Segment{Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: retained}.DeadBytes()
 	}
 	return use
 }
@@ -49,7 +50,12 @@
 // for space that compaction would free.
 func (j *Journal) noteRefusedForSpace() {
 	j.refusedForSpace++
-	j.compactionWanted = true
+	j.refused, j.compactionWanted = true, true
+}
+
+// space returns what the choice of a compaction depends on.
+func (j *Journal) space() plan.Space {
+	return plan.Space{Budget: j.config.Budget, Used: j.usedBytes(), Pending: len(j.locations), Refused: j.refused}
 }
 
 // reportFull logs why messages were refused since the last call, if any were.
