Seal the active segment where only that gives space back

What callers saw: with a disk limit of 0.2 MB and bodies of 30,000 bytes or more, a relay refused everything for good with nothing held.

Cause: the active segment is never compacted, and was sealed only by a message that is written. One of up to 64 KiB of completed messages stayed where the next message did not fit beside it.

Change: where messages are refused and no sealed segment is worth compacting, the active one is sealed if at least two blocks of it are dead, one more than the new segment's header takes.

Test: TestActiveSegmentIsCompacted failed for each of its three sizes before, and passes.

--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -84,27 +84,24 @@
 	}
 }
 
-// compact starts the compaction of a segment if that is worthwhile.
+// compact starts a compaction if one is worthwhile. If messages are refused and no sealed segment
+// would give space back, the active one is sealed for it.
 func (j *Journal) compact() {
 	if j.compacting {
 		return
 	}
 	j.compactionWanted, j.lastCompactionCheck = false, j.stats.Commits
-	candidates := j.candidates[:0]
-	for i, seg := range j.segments {
-		candidates = append(candidates, plan.Segment{
-			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: j.retainedBytes(i),
-			Busy:            seg.busy || seg.retryAt > j.maintenanceRuns || i == len(j.segments)-1,
-			CompletionsOnly: seg.completionsOnly && !seg.merged,
-		})
+	j.listCandidates()
+	first, end := plan.ChooseCompaction(j.space(), j.candidates)
+	if first == end && plan.ShouldSealActive(j.space(), j.candidates[len(j.candidates)-1]) && j.sealActive() {
+		j.listCandidates()
+		first, end = plan.ChooseCompaction(j.space(), j.candidates)
 	}
-	j.candidates = candidates
-	first, end := plan.ChooseCompaction(j.space(), candidates)
 	if first == end {
 		return
 	}
 	job := j.newCompactionJob(first, end)
-	job.urgent = plan.Urgent(j.config.Budget, j.usedBytes(), candidates)
+	job.urgent = plan.Urgent(j.config.Budget, j.usedBytes(), j.candidates)
 	j.compacting = true
 	if j.config.CompactInline {
 		j.finishCompaction(job.run(j.config.FS, noPause))
@@ -113,6 +110,22 @@
 	j.jobs <- job
 }
 
+// listCandidates lists the segments for the choice of a compaction.
+func (j *Journal) listCandidates() {
+	j.candidates = j.candidates[:0]
+	for i, seg := range j.segments {
+		j.candidates = append(j.candidates, plan.Segment{
+			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: j.retainedBytes(i),
+			Busy:            seg.busy || seg.retryAt > j.maintenanceRuns || i == len(j.segments)-1,
+			CompletionsOnly: seg.completionsOnly && !seg.merged,
+		})
+	}
+}
+
+// sealActive starts a new segment and reports whether that succeeded. It fails on a faulty disk, and
+// while the active segment is still to be truncated; a later search tries again.
+func (j *Journal) sealActive() bool { return !j.needsTruncate && j.rotate() == nil }
+
 // retainedBytes returns the bytes of segment index that compaction would have to retain beside the
 // records of pending messages.
 func (j *Journal) retainedBytes(index int) int64 {
--- a/internal/memory/journal/merge_test.go
+++ b/internal/memory/journal/merge_test.go
@@ -11,6 +11,7 @@
 // Kills the process at each operation while segments of completions are merged: no completed
 // message comes back, and no remembered id is lost.
 func TestCrashWhileMerging(t *testing.T) {
+	t.Parallel()
 	const messages = 60
 	run := func(disk *faultfs.FS) (stats journal.Stats, completed []string) {
 		j, table, err := journal.Open(journal.Config{FS: disk, Budget: 1 << 20, Log: quiet, CompactInline: true})
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -80,6 +80,12 @@
 // ShouldSeal reports whether a segment of that size is full before more bytes are added.
 func ShouldSeal(budget, size, more int64) bool { return size > 0 && size+more > SegmentSize(budget) }
 
+// ShouldSealActive reports whether the active segment is to be sealed, though it is not full, so that
+// it can be compacted: messages are refused, and that frees more than the new segment's header takes.
+func ShouldSealActive(space Space, active Segment) bool {
+	return space.Refused && active.DeadBytes() >= 2*BlockSize
+}
+
 // Space is what the choice of a compaction depends on beside the segments.
 type Space struct {
 	Budget, Used int64 // Used is the space that all files use
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -109,6 +109,7 @@
 // Guards against a folder that stays full of completed messages since a full one makes no commits,
 // and compaction was searched for only after commits.
 func TestFullJournalIsCompactedWithoutCommits(t *testing.T) {
+	t.Parallel()
 	r := newReclaimer(t, journal.Config{FS: faultfs.New(), Budget: 3e6})
 	r.run(t, 400, 64<<10, 16)
 }
@@ -116,6 +117,7 @@
 // Guards against a folder that fills with what compaction leaves: the ids of completed messages,
 // which took a block of their own for each segment and were never merged.
 func TestCompletionsAreMerged(t *testing.T) {
+	t.Parallel()
 	disk := faultfs.New()
 	r := newReclaimer(t, journal.Config{FS: disk, Budget: 3e6})
 	r.run(t, 5600, 64<<10, 16)
@@ -230,3 +232,14 @@
 		})
 	}
 }
+
+// Guards against a small folder that stays full of completed messages in the active segment, which
+// is never compacted, and is sealed only for a message that fits.
+func TestActiveSegmentIsCompacted(t *testing.T) {
+	for _, size := range []int{30_000, 45_000, 62_500} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			r := newReclaimer(t, journal.Config{FS: faultfs.New(), Budget: 205e3, CompactInline: true})
+			r.run(t, 1500, size, 16)
+		})
+	}
+}
