Shrink the reserve file with the budget

What callers saw: after a reload from 16 MB to a disk limit of 0.3 MB, a relay refused everything for good.

Cause: the reserve file, a 64th of the budget but 256 KiB at most, is made once, and kept its size when the budget was lowered: 249,856 of the 300,000 bytes.

Change: Maintain makes a smaller one where the budget asks for that.

Test: TestSmallerBudgetIsReached failed before at the first message after the reload, and passes.

--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -145,10 +145,17 @@
 }
 
 // createReserve creates the reserve file, whose space is released when the disk is full so that
-// completions can still be written. If that fails, Maintain tries again.
+// completions can still be written, or makes it smaller after the budget was lowered. If that fails,
+// Maintain tries again.
 func (j *Journal) createReserve() {
 	size := j.reserveTarget()
-	if j.reserveSize > 0 || size == 0 {
+	if j.reserveSize > 0 && j.reserveSize <= size || size == j.reserveSize {
+		return
+	}
+	if size == 0 {
+		if j.config.FS.Remove(reserveName) == nil {
+			j.reserveSize = 0
+		}
 		return
 	}
 	if err := writeFileAtomic(j.config.FS, reserveName, make([]byte, size), noPause); err == nil {
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -243,3 +243,14 @@
 		})
 	}
 }
+
+// Guards against a folder that stays full after a reload with a smaller disk limit.
+func TestSmallerBudgetIsReached(t *testing.T) {
+	r := newReclaimer(t, journal.Config{FS: faultfs.New(), Budget: 16e6, CompactInline: true})
+	r.run(t, 5000, 212, 256)
+	r.journal.SetBudget(300e3)
+	r.run(t, 200, 64<<10, 256)
+	if use := r.journal.SpaceUse(); use.Used > use.Budget {
+		t.Errorf("%+v", use)
+	}
+}
