Keep the copy that compaction makes within the disk limit

Cause: all hand-ins of one turn are one batch, and a batch is written to one segment, whatever its size: 1.2 MB. Its copy was made without a look at what is free; space is reserved for the copy of a full segment only, 125 KB of 3 MB. That reserve also could not free such a segment while some of it lives.

Change: each segment knows how large its copy can be at most (its live records and completions), and is compacted only where that fits. While a larger copy than reserved is written, its excess counts as used. Where messages are refused, a segment of completed messages is compacted in any case, since nothing else may give space back. The host writes its records once they would fill a segment, so that clumps make no larger ones.

--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -102,7 +102,10 @@
 	}
 	job := j.newCompactionJob(first, end)
 	job.urgent = plan.Urgent(j.config.Budget, j.usedBytes(), j.candidates)
-	j.compacting = true
+	j.compacting, j.copyBytes = true, 0
+	for _, seg := range job.segments {
+		j.copyBytes += seg.copyBytes()
+	}
 	if j.config.CompactInline {
 		j.finishCompaction(job.run(j.config.FS, noPause))
 		return
@@ -117,6 +120,7 @@
 		j.candidates = append(j.candidates, plan.Segment{
 			Size: seg.size, LiveBytes: seg.liveBytes, RetainedBytes: j.retainedBytes(i),
 			Busy:            seg.busy || seg.retryAt > j.maintenanceRuns || i == len(j.segments)-1,
+			CopyBytes:       seg.copyBytes(),
 			CompletionsOnly: seg.completionsOnly && !seg.merged,
 		})
 	}
@@ -177,7 +181,7 @@
 
 // finishCompaction updates the journal after a compaction.
 func (j *Journal) finishCompaction(result compactionResult) {
-	j.compacting = false
+	j.compacting, j.copyBytes = false, 0
 	for _, seg := range result.segments {
 		seg.busy = false
 	}
@@ -200,6 +204,7 @@
 	if result.size > 0 {
 		j.setSegmentSize(target, result.size)
 		target.retained, target.completionsOnly = result.retained, result.completionsOnly
+		target.completionBytes = result.retained.idBytes + result.retained.earlierBytes
 	}
 	j.removeSegments(result.removed)
 }
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -71,10 +71,11 @@
 	reserveSize         int64  // size of the reserve file; 0: there is none
 	jobs                chan compactionJob
 	results             chan compactionResult
-	compacting          bool // a compaction is running
-	compactionWanted    bool // search for a segment to compact with the next Commit
-	refused             bool // the latest message was refused, or is in memory only, for lack of space
-	refusedForSpace     int  // messages refused or kept in memory only since the last Maintain
+	compacting          bool  // a compaction is running
+	copyBytes           int64 // that it writes, at most
+	compactionWanted    bool  // search for a segment to compact with the next Commit
+	refused             bool  // the latest message was refused, or is in memory only, for lack of space
+	refusedForSpace     int   // messages refused or kept in memory only since the last Maintain
 	stats               Stats
 }
 
@@ -227,7 +228,7 @@
 	}
 	recordSize := int64(frameHeaderSize + 40 + len(m.ID) + len(m.Class) + len(m.IdempotencyKey) + len(m.Body) +
 		len(m.PluginNotes) + len(m.Tenant) + len(m.OrderingKey))
-	used := j.usedBytes() + j.batchBytes
+	used := j.usedBytes() + j.batchBytes + plan.CopyReserve(j.config.Budget, j.copyBytes)
 	kind := recordAccepted
 	journaledBytes, memoryOnlyBytes := table.BodyBytes()
 	switch plan.ChooseBodyStorage(journaledBytes, memoryOnlyBytes, j.config.MaxBodyBytes, int64(len(m.Body)),
@@ -342,6 +343,10 @@
 	j.remembered.Add(j.completedSeq, int64(size))
 }
 
+// BatchFull reports whether the records that wait for Commit would fill a segment. More would make
+// one that takes long to become free.
+func (j *Journal) BatchFull() bool { return j.batchBytes >= plan.SegmentSize(j.config.Budget) }
+
 // Commit writes the batch of records with one write. If acceptErr is set, the messages accepted
 // since the last Commit are not accepted. If attemptErr is set, the attempts since the last Commit
 // must not be made. Both wrap ErrUnavailable. Other records are kept and written as soon as the
@@ -450,6 +455,7 @@
 			j.addRecordBytes(seg, number, int64(e.end-e.start))
 		}
 		if e.completed != 0 {
+			seg.completionBytes += int64(e.end - e.start)
 			j.removeRecords(e.completed)
 		}
 	}
--- a/internal/memory/journal/plan/completions_test.go
+++ b/internal/memory/journal/plan/completions_test.go
@@ -53,19 +53,22 @@
 	}
 	for _, c := range []struct {
 		name       string
+		used       int64
 		all        []Segment
 		first, end int
 	}{
-		{"too few", repeat(MinRun-1, small), 0, 0},
-		{"enough", repeat(MinRun, small), 0, MinRun},
-		{"not neighbours", concat(repeat(MinRun-1, small), []Segment{messages}, repeat(MinRun-1, small)), 0, 0},
-		{"busy", concat(repeat(4, small), []Segment{busy}, repeat(MinRun, small)), 5, 5 + MinRun},
-		{"behind a full one", concat([]Segment{large}, repeat(MinRun, small)), 1, 1 + MinRun},
-		{"the longer run", concat(repeat(MinRun, small), []Segment{messages}, repeat(MinRun+1, small)),
+		{"no space for the copy", budget - BlockSize, repeat(MinRun, small), 0, 0},
+		{"space for the copy", budget - 2*BlockSize, repeat(MinRun, small), 0, MinRun},
+		{"too few", 0, repeat(MinRun-1, small), 0, 0},
+		{"enough", 0, repeat(MinRun, small), 0, MinRun},
+		{"not neighbours", 0, concat(repeat(MinRun-1, small), []Segment{messages}, repeat(MinRun-1, small)), 0, 0},
+		{"busy", 0, concat(repeat(4, small), []Segment{busy}, repeat(MinRun, small)), 5, 5 + MinRun},
+		{"behind a full one", 0, concat([]Segment{large}, repeat(MinRun, small)), 1, 1 + MinRun},
+		{"the longer run", 0, concat(repeat(MinRun, small), []Segment{messages}, repeat(MinRun+1, small)),
 			MinRun + 1, 2*MinRun + 2},
-		{"bounded", repeat(2*maxRun, small), 0, maxRun},
+		{"bounded", 0, repeat(2*maxRun, small), 0, maxRun},
 	} {
-		if first, end, freed := ChooseRun(budget, c.all); first != c.first || end != c.end || (freed > 0) != (end > 0) {
+		if first, end, freed := ChooseRun(Space{Budget: budget, Used: c.used}, c.all); first != c.first || end != c.end || (freed > 0) != (end > 0) {
 			t.Errorf("%s: %d to %d, %d freed", c.name, first, end, freed)
 		}
 	}
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -26,6 +26,7 @@
 	LiveBytes     int64 // records of pending messages
 	RetainedBytes int64 // other records that the last compaction had to retain
 	Busy          bool  // active, or being compacted
+	CopyBytes     int64 // size of the file that compaction would write, at most
 	// CompletionsOnly says that all records are completions, so that it may be merged.
 	CompletionsOnly bool
 }
@@ -103,13 +104,29 @@
 func ChooseSegment(space Space, segments []Segment) int {
 	best, mostDead := -1, int64(0)
 	for i, segment := range segments {
-		if dead := segment.DeadBytes(); dead > mostDead && worthCompacting(space, segment) {
+		if dead := segment.DeadBytes(); dead > mostDead && worthCompacting(space, segment) && space.mayCopy(segment) {
 			best, mostDead = i, dead
 		}
 	}
 	return best
 }
 
+// fits reports whether a copy of that many bytes stays within the budget.
+func (s Space) fits(copyBytes int64) bool { return s.Used+DiskSize(copyBytes) <= s.Budget }
+
+// CopyReserve returns the bytes to keep free for a copy that is being written, beyond those that are
+// always reserved for one.
+func CopyReserve(budget, copyBytes int64) int64 {
+	return max(0, DiskSize(copyBytes)-DiskSize(SegmentSize(budget)))
+}
+
+// mayCopy reports whether there is space for the copy of a segment. Once messages are refused, one
+// without pending messages is compacted in any case: its copy is small, and if all messages are
+// completed, nothing but that gives space back.
+func (s Space) mayCopy(segment Segment) bool {
+	return s.fits(segment.CopyBytes) || s.Refused && segment.LiveBytes == 0
+}
+
 // worthCompacting reports whether a segment that is not busy has at least BlockSize dead bytes, and
 // no others, or half of it and MinDeadBytes are dead, or space is short; or whether it holds only its
 // header. Completions are rewritten if half of them are dead, or messages are refused: they expire
@@ -133,7 +150,7 @@
 // ChooseCompaction returns the segments to compact into one: first to end-1, none if both are equal.
 // It chooses between one segment and a run that is worth merging by what that frees.
 func ChooseCompaction(space Space, segments []Segment) (first, end int) {
-	first, end, freed := ChooseRun(space.Budget, segments)
+	first, end, freed := ChooseRun(space, segments)
 	if i := ChooseSegment(space, segments); i >= 0 && segments[i].DeadBytes() >= freed {
 		return i, i + 1
 	}
@@ -150,18 +167,18 @@
 // disk; none if first and end are equal. Each file uses whole blocks, so that many small ones, of
 // which completions are all that is left, take far more space than one. A run is worth merging if
 // it has MinRun segments, and together they have at most the size of a full one.
-func ChooseRun(budget int64, segments []Segment) (first, end int, freed int64) {
+func ChooseRun(space Space, segments []Segment) (first, end int, freed int64) {
 	from, size, onDisk := 0, int64(0), int64(0)
 	for i, segment := range segments {
 		if segment.Busy || !segment.CompletionsOnly {
 			from, size, onDisk = i+1, 0, 0
 			continue
 		}
-		if size+segment.Size > SegmentSize(budget) || i-from == maxRun {
+		if size+segment.Size > SegmentSize(space.Budget) || i-from == maxRun {
 			from, size, onDisk = i, 0, 0
 		}
 		size, onDisk = size+segment.Size, onDisk+DiskSize(segment.Size)
-		if n := onDisk - DiskSize(size); i+1-from >= MinRun && n > freed {
+		if n := onDisk - DiskSize(size); i+1-from >= MinRun && n > freed && space.fits(size) {
 			first, end, freed = from, i+1, n
 		}
 	}
--- a/internal/memory/journal/plan/plan_test.go
+++ b/internal/memory/journal/plan/plan_test.go
@@ -73,6 +73,34 @@
 	}
 }
 
+// A copy never takes the files over the budget, but for segments of completed messages while others
+// are refused.
+func TestCopyStaysWithinBudget(t *testing.T) {
+	const budget = 3e6
+	halfLive := Segment{Size: 1_200_000, LiveBytes: 500_000, CopyBytes: 510_000}
+	completed := Segment{Size: 130_000, CopyBytes: 120_000}
+	for _, c := range []struct {
+		used    int64
+		refused bool
+		all     []Segment
+		want    int
+	}{
+		{2.4e6, true, []Segment{completed, halfLive}, 1},
+		{2.6e6, true, []Segment{completed, halfLive}, 0},
+		{2.6e6, false, []Segment{completed, halfLive}, 0},
+		{2.9e6, false, []Segment{completed, halfLive}, -1},
+		{2.9e6, true, []Segment{completed, halfLive}, 0},
+		{2.9e6, true, []Segment{halfLive}, -1},
+	} {
+		if got := ChooseSegment(Space{Budget: budget, Used: c.used, Refused: c.refused}, c.all); got != c.want {
+			t.Errorf("%d used, refused %t: %d, want %d", c.used, c.refused, got, c.want)
+		}
+	}
+	if CopyReserve(budget, SegmentSize(budget)) != 0 || CopyReserve(budget, 500_224) != 500_224-DiskSize(SegmentSize(budget)) {
+		t.Error("a large copy is not reserved for")
+	}
+}
+
 // Compaction pauses while there is space and it keeps up.
 func TestUrgent(t *testing.T) {
 	mostlyDead, mostlyLive, busy := Segment{Size: 100, LiveBytes: 10}, Segment{Size: 100, LiveBytes: 60},
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -254,3 +256,39 @@
 		t.Errorf("%+v", use)
 	}
 }
+
+// Guards against a copy that takes the folder over its limit: clumps of large messages made segments
+// of which compaction copied more than was reserved.
+func TestCompactionStaysWithinBudget(t *testing.T) {
+	const budget, clump, clumps = 3e6, 18, 120
+	disk := faultfs.New()
+	r := newReclaimer(t, journal.Config{FS: disk, Budget: budget, CompactInline: true})
+	random := rand.New(rand.NewPCG(53, 0))
+	var pending []*memory.Message
+	accepted := 0
+	for range clumps {
+		for range clump {
+			m := r.newMessage(60_000+random.IntN(5000), 16)
+			if r.journal.AppendAccepted(r.table, m, true) == nil {
+				pending = append(pending, m)
+				accepted++
+			}
+		}
+		if acceptErr, _ := r.journal.Commit(); acceptErr != nil {
+			t.Fatal(acceptErr)
+		}
+		for range min(len(pending), random.IntN(2*clump)) {
+			i := random.IntN(len(pending))
+			r.deliver(pending[i])
+			pending = slices.Delete(pending, i, i+1)
+			r.journal.Maintain()
+		}
+	}
+	if peak := disk.PeakBytes(); peak > budget || accepted < clump*clumps/2 {
+		t.Errorf("%d bytes on disk at most, %d of %d accepted", peak, accepted, clump*clumps)
+	}
+	for _, m := range pending {
+		r.deliver(m)
+	}
+	r.run(t, 200, 64<<10, 16)
+}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -119,6 +119,7 @@
 			if err = replay.apply(payload); err == nil {
 				if payload[0] == recordCompleted {
 					j.rememberCompletion(payload, size)
+					seg.completionBytes += int64(size)
 				}
 				forEachNumber(payload, func(number uint32) { seg.messageBytes[number] += int64(size) })
 				return
--- a/internal/memory/journal/segment.go
+++ b/internal/memory/journal/segment.go
@@ -8,6 +8,7 @@
 	size            int64
 	liveBytes       int64            // bytes of records of pending messages
 	messageBytes    map[uint32]int64 // the same by message number
+	completionBytes int64            // bytes of completion records
 	retained        retainedCompletions
 	completionsOnly bool   // it holds completion records and no others
 	compactedAt     uint64 // number of the active segment at the last compaction; 0: never compacted
@@ -18,6 +19,14 @@
 
 func (s *segment) name() string { return fmt.Sprintf("%012d%s", s.number, segmentExt) }
 
+// copyBytes bounds the size of the file that compaction would write.
+func (s *segment) copyBytes() int64 {
+	if s.merged {
+		return 0
+	}
+	return min(s.size, int64(headerSize)+s.liveBytes+s.completionBytes)
+}
+
 // retainedBytes returns the bytes that compaction would have to retain beside the records of pending
 // messages, as far as an earlier compaction has told. Completions are remembered from
 // rememberedFrom on; hasEarlier says that an older segment may still hold accepted records.
--- a/internal/testdouble/faultfs/faultfs.go
+++ b/internal/testdouble/faultfs/faultfs.go
@@ -39,6 +39,7 @@
 	capacity       int64 // bytes of all files, in whole blocks; 0: no limit
 	maxFileSize    int64 // bytes; 0: no limit
 	operations     []string
+	peak           int64 // largest space of all files after a write
 }
 
 // New returns an empty file system without faults.
@@ -63,6 +64,9 @@
 	return fs.usedBytes()
 }
 
+// PeakBytes returns the largest space that all files took after a write, in whole blocks.
+func (fs *FS) PeakBytes() int64 { fs.mu.Lock(); defer fs.mu.Unlock(); return fs.peak }
+
 // usedBytes returns the space of all files, in whole blocks. The caller holds mu.
 func (fs *FS) usedBytes() (n int64) {
 	for _, b := range fs.files {
@@ -216,7 +220,10 @@
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	fault := f.fs.nextFault(fmt.Sprint("write ", *f.name, " ", len(b)))
-	write := func(n int) { f.fs.files[*f.name] = append(f.fs.files[*f.name], b[:n]...) }
+	write := func(n int) {
+		f.fs.files[*f.name] = append(f.fs.files[*f.name], b[:n]...)
+		f.fs.peak = max(f.fs.peak, f.fs.usedBytes())
+	}
 	switch fault {
 	case Kill:
 		return 0, ErrKilled
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -332,8 +332,8 @@
 		case <-timer.C:
 		}
 		// Handle all queued events first, so that a Retry-After or a drain is known before the next
-		// send.
-		for more := true; more; {
+		// send, unless so many large messages arrive that their records need to be written.
+		for more := true; more && !h.journal.BatchFull(); {
 			select {
 			case e := <-h.events:
 				h.handleEvent(e)
