Refuse a disk limit too small for a message of the largest size

What callers saw: with limits.disk_mb of 0.2 or less a relay started, and could refuse all large messages for good, since the reserve, the remembered ids and one body of 64 KiB did not fit together.

Change: plan.MinBudget computes the smallest budget in which a message of the largest size fits once all others have ended, from the same functions that decide about each message. The configuration refuses a smaller limit by its key: limits.disk_mb under 0.210432. The reserve file's size moved to plan with it.

Tests: TestSmallestDiskLimit, a case of TestErrorsNameTheKey; TestSpaceIsReclaimedAtEverySize hands in up to 3,500 messages one by one at the smallest budget, 2 MB and 16 MB, bodies of 0 to 64 KiB, ids of 16 and 256 bytes: 42 cases pass, and none takes more than its budget on the disk.

--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -17,6 +17,7 @@
 
 	"oatfold/internal/choice"
 	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal/plan"
 	"oatfold/internal/peers"
 	"oatfold/internal/peers/members"
 	"oatfold/policy"
@@ -51,6 +52,14 @@
 	megabyte           = 1_000_000 // decimal, the smaller meaning of a limit in MB
 )
 
+// SmallFileBytes is the bytes of disk that the files of the state folder take besides journals: the
+// leader lock, the clock mark, and a lock for each process directory.
+const SmallFileBytes = 2560
+
+// MinDiskBytes returns the smallest disk limit, in bytes, with which a relay accepts messages of every
+// size again whenever all others have ended.
+func MinDiskBytes() int64 { return SmallFileBytes + plan.MinBudget() }
+
 // Load reads the configuration file that the environment names. The file takes precedence over
 // environment variables: it can be replaced while the relay runs, and must mean the same at a
 // reload as at the next start. Errors name the key at fault.
@@ -145,6 +154,10 @@
 	}
 	c.MemoryBytes, c.MaxDescriptors = int64(numbers[0]*megabyte), int(numbers[1])
 	c.DiskBytes, c.ConnectTimeout = int64(numbers[2]*megabyte), time.Duration(numbers[3])*time.Microsecond
+	if least := MinDiskBytes(); c.DiskBytes < least {
+		return nil, fmt.Errorf("limits.disk_mb: %g is under %g: too small for a message of the largest size beside the ids"+
+			" of completed ones", numbers[2], float64(least)/megabyte)
+	}
 	if !doc.Get("settings").Exists() {
 		return nil, fmt.Errorf("settings: missing")
 	}
--- a/internal/daemon/config/config_test.go
+++ b/internal/daemon/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -55,6 +56,18 @@
 	}
 }
 
+// The smallest disk limit that is accepted has space for a message of the largest size.
+func TestSmallestDiskLimit(t *testing.T) {
+	for _, bytes := range []int64{MinDiskBytes() - 1, MinDiskBytes()} {
+		_, err := load(t, func(s string) string {
+			return strings.Replace(s, "\"disk_mb\": 3", fmt.Sprintf("\"disk_mb\": %.6f", float64(bytes)/megabyte), 1)
+		}, nil)
+		if accepted := err == nil; accepted != (bytes >= MinDiskBytes()) {
+			t.Errorf("%d bytes: %v", bytes, err)
+		}
+	}
+}
+
 // Each error names the key at fault.
 func TestErrorsNameTheKey(t *testing.T) {
 	replace := func(old, new string) func(string) string {
@@ -81,6 +94,7 @@
 		"limits.memory_mb":                  {replace("\"memory_mb\": 192", "\"memory_mb\": -1"), nil},
 		"limits.sockets":                    {replace("1024", "\"many\""), nil},
 		"limits.disk_mb":                    {replace("\"disk_mb\": 3", "\"disk_mb\": 0"), nil},
+		"limits.disk_mb: 0.2 is under 0.2":  {replace("\"disk_mb\": 3", "\"disk_mb\": 0.2"), nil},
 		"known: endpoint list: generation":  {replace("\"generation\": 0", "\"generation\": null"), nil},
 		"settings.policyLimits.connectTime": {replace("\"connectTimeoutUs\": 1500000", "\"connectTimeoutUs\": \"x\""), nil},
 		"settings: missing":                 {replace("\"settings\"", "\"other\""), nil},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,10 +33,6 @@
 // messages may take. Further bodies are kept in the journal only.
 const bodyMemoryDivisor = 8
 
-// smallFileBytes is the bytes of disk that the files of the state folder take besides journals: the
-// leader lock, the clock mark, and a lock for each process directory.
-const smallFileBytes = 2560
-
 // ownDescriptors is the number of descriptors for the process itself: standard streams, journal,
 // poll, listener, discovery.
 const ownDescriptors = 24
@@ -313,7 +309,7 @@
 
 // diskBytes returns what the journals of all processes may take: the disk limit less the folder's
 // small files.
-func (r *relay) diskBytes() int64 { return r.config.DiskBytes - smallFileBytes }
+func (r *relay) diskBytes() int64 { return r.config.DiskBytes - config.SmallFileBytes }
 
 // standBy waits for the leader lock and reports whether this process holds it; false if it received
 // a stop signal.
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -149,7 +149,7 @@
 // completions can still be written, or makes it smaller after the budget was lowered. If that fails,
 // Maintain tries again.
 func (j *Journal) createReserve() {
-	size := j.reserveTarget()
+	size := plan.ReserveFileSize(j.config.Budget)
 	if j.reserveSize > 0 && j.reserveSize <= size || size == j.reserveSize {
 		return
 	}
@@ -164,12 +164,6 @@
 	}
 }
 
-// reserveTarget returns the size of the reserve file in bytes; 0 if the budget is too small for
-// one.
-func (j *Journal) reserveTarget() int64 {
-	return min(j.config.Budget/64, 256<<10) / plan.BlockSize * plan.BlockSize
-}
-
 // Close stops compaction and closes the active segment. Records that were not committed are lost.
 func (j *Journal) Close() error {
 	if j.jobs != nil {
@@ -223,7 +217,7 @@
 // m.MemoryOnly is then set. AppendAccepted returns ErrFull or ErrUnavailable if m can't be
 // accepted.
 func (j *Journal) AppendAccepted(table *memory.Table, m *memory.Message, repeatable bool) error {
-	if j.unavailable || j.reserveSize == 0 && j.reserveTarget() > 0 {
+	if j.unavailable || j.reserveSize == 0 && plan.ReserveFileSize(j.config.Budget) > 0 {
 		return ErrUnavailable // without the reserve there may be no space for the completion
 	}
 	recordSize := int64(frameHeaderSize + 40 + len(m.ID) + len(m.Class) + len(m.IdempotencyKey) + len(m.Body) +
@@ -390,7 +384,7 @@
 	j.maintenanceRuns++
 	j.pollCompaction()
 	j.truncateActive() // if it fails, the next write or call tries again
-	if j.createReserve(); j.unavailable && (j.reserveSize > 0 || j.reserveTarget() == 0) {
+	if j.createReserve(); j.unavailable && (j.reserveSize > 0 || plan.ReserveFileSize(j.config.Budget) == 0) {
 		j.unavailable = false
 		j.config.Log.Info("journal can be written again; accepting new messages")
 	}
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -47,6 +47,35 @@
 	return used+DiskSize(record)+ReservedBytes(budget, live+1) <= budget
 }
 
+// MaxMessageBytes bounds the records of one message of the largest size: a body of 64 KiB, id, key,
+// tenant, ordering key and class, and the notes of plug-ins.
+const MaxMessageBytes = 68 << 10
+
+// ReserveFileSize returns the size of the file whose space is released when the disk is full; 0 if
+// the budget is too small for one.
+func ReserveFileSize(budget int64) int64 {
+	return min(budget/64, 256<<10) / BlockSize * BlockSize
+}
+
+// MinBudget returns the smallest budget, in whole KiB, in which a message of MaxMessageBytes fits
+// whenever no other is pending, however many were completed before.
+func MinBudget() int64 {
+	budget := int64(MaxMessageBytes)
+	for !Fits(budget, settledSize(budget), 0, MaxMessageBytes) {
+		budget += 1 << 10
+	}
+	return budget
+}
+
+// settledSize bounds the space that all files use once all messages are completed and compaction has
+// nothing left to do: the reserve file, the remembered completions in files of which fewer than
+// MinRun wait to be merged, and the active segment. Of each file almost two blocks may be dead.
+func settledSize(budget int64) int64 {
+	completions := CompletionLimit(budget)
+	files := MinRun * (1 + 2*completions/SegmentSize(budget))
+	return ReserveFileSize(budget) + completions + (files+1)*2*BlockSize
+}
+
 // BodyStorage says where the body of a message is stored.
 type BodyStorage int
 
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -133,6 +133,30 @@
 	}
 }
 
+// With the smallest budget that the configuration accepts, as with larger ones, messages of every
+// size are accepted again whenever all earlier ones are completed.
+func TestSpaceIsReclaimedAtEverySize(t *testing.T) {
+	for _, c := range []struct {
+		budget   int64
+		messages int
+	}{{plan.MinBudget(), 3000}, {2e6, 3500}, {16e6, 1500}} {
+		for _, size := range []int{0, 212, 10_000, 30_000, 45_000, 62_500, 64 << 10} {
+			for _, idBytes := range []int{16, 256} {
+				t.Run(fmt.Sprintf("%d bytes, bodies of %d, ids of %d", c.budget, size, idBytes), func(t *testing.T) {
+					t.Parallel()
+					disk := faultfs.New()
+					r := newReclaimer(t, journal.Config{FS: disk, Budget: c.budget, CompactInline: true})
+					r.run(t, c.messages, size, idBytes)
+					r.run(t, 1, 64<<10, 256)
+					if disk.PeakBytes() > c.budget {
+						t.Errorf("%d bytes on disk", disk.PeakBytes())
+					}
+				})
+			}
+		}
+	}
+}
+
 // unwritableCopies is a file system that can refuse to write or remove segments beside the active
 // one, as a full or faulty disk does.
 type unwritableCopies struct {
