Retain completions only for messages that an older segment can hold

What callers saw: with one old segment that can't be compacted (its header is spoilt, or the file can't be replaced), a relay refused everything for good once enough messages had completed.

Cause: a completion has to stay while an older segment may still hold the record that accepted its message. That was asked of the segment as a whole: one old segment that is never compacted held back the completions of all messages that came after it, 30 bytes each, without a bound.

Change: each segment knows the range of numbers of the messages whose accepted records it holds. A completion stays for an older segment only if its number is in the range of one. Numbers only grow, so a segment that can't be compacted keeps the completions of its own messages; one with no readable header keeps none, since no start reads it.

--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -52,13 +52,13 @@
 // compactionJob describes segments to compact into one. It holds all that is needed, since it runs
 // on another goroutine.
 type compactionJob struct {
-	segments          []*segment // oldest first; the result replaces the last one
-	names             []string
-	liveNumbers       []uint32 // numbers of pending messages with records in the segments
-	retainFromSeq     uint64   // completion records from this sequence number on are retained
-	hasEarlierRecords bool     // an older segment may still hold the accepted record of a message
-	activeNumber      uint64   // number of the active segment when the job was created
-	urgent            bool     // space is short: run without pauses
+	segments       []*segment // oldest first; the result replaces the last one
+	names          []string
+	liveNumbers    []uint32      // numbers of pending messages with records in the segments
+	retainFromSeq  uint64        // completion records from this sequence number on are retained
+	acceptedBefore []numberRange // of messages whose accepted records an older segment may still hold
+	activeNumber   uint64        // number of the active segment when the job was created
+	urgent         bool          // space is short: run without pauses
 }
 
 // compactionResult is the outcome of a compactionJob.
@@ -66,6 +66,7 @@
 	compactionJob
 	size            int64               // of the new file; 0: it was empty and is removed
 	retained        retainedCompletions // in the new file
+	accepted        numberRange         // of the messages whose accepted records are in the new file
 	completionsOnly bool                // all records of the new file are completions
 	removed         []*segment          // whose files are removed
 	err             error
@@ -134,16 +135,18 @@
 // records of pending messages.
 func (j *Journal) retainedBytes(index int) int64 {
 	seg := j.segments[index]
-	return seg.retainedBytes(j.remembered.RetainFrom(), seg.retained.earlierBytes > 0 && j.hasEarlierRecords(index))
+	hasEarlier := seg.retained.earlierBytes > 0 &&
+		slices.ContainsFunc(j.acceptedBefore(index), seg.retained.earlier.overlaps)
+	return seg.retainedBytes(j.remembered.RetainFrom(), hasEarlier)
 }
 
 // newCompactionJob returns the job that compacts segments first to end-1 into one.
 func (j *Journal) newCompactionJob(first, end int) compactionJob {
 	job := compactionJob{
-		segments:          slices.Clone(j.segments[first:end]),
-		retainFromSeq:     j.remembered.RetainFrom(),
-		hasEarlierRecords: j.hasEarlierRecords(end - 1),
-		activeNumber:      j.segments[len(j.segments)-1].number,
+		segments:       slices.Clone(j.segments[first:end]),
+		retainFromSeq:  j.remembered.RetainFrom(),
+		acceptedBefore: j.acceptedBefore(end - 1),
+		activeNumber:   j.segments[len(j.segments)-1].number,
 	}
 	for _, seg := range job.segments {
 		seg.busy = true
@@ -153,21 +156,21 @@
 		}
 	}
 	if job.segments[0].merged {
-		job.retainFromSeq, job.hasEarlierRecords = math.MaxUint64, false // a later segment has its records
+		job.retainFromSeq, job.acceptedBefore = math.MaxUint64, nil // a later segment has its records
 	}
 	return job
 }
 
-// hasEarlierRecords reports whether an older segment may still hold the accepted record of a
-// message that is completed in segment index: one that was not compacted since that segment was
-// sealed.
-func (j *Journal) hasEarlierRecords(index int) bool {
+// acceptedBefore returns the numbers of the messages, some of which are completed in segment index,
+// whose accepted records an older segment may still hold: one that was not compacted since that
+// segment was sealed. An older one that can't be compacted keeps only its own messages alive.
+func (j *Journal) acceptedBefore(index int) (accepted []numberRange) {
 	for _, earlier := range j.segments[:index] {
-		if !earlier.completionsOnly && earlier.compactedAt <= j.segments[index].number {
-			return true
+		if earlier.accepted.last > 0 && earlier.compactedAt <= j.segments[index].number {
+			accepted = append(accepted, earlier.accepted)
 		}
 	}
-	return false
+	return accepted
 }
 
 // pollCompaction handles a finished compaction, if there is one.
@@ -203,7 +206,8 @@
 	target.compactedAt = result.activeNumber
 	if result.size > 0 {
 		j.setSegmentSize(target, result.size)
-		target.retained, target.completionsOnly = result.retained, result.completionsOnly
+		target.accepted, target.retained = result.accepted, result.retained
+		target.completionsOnly = result.completionsOnly
 		target.completionBytes = result.retained.idBytes + result.retained.earlierBytes
 	}
 	j.removeSegments(result.removed)
@@ -300,20 +304,29 @@
 		reader := newRecordReader(payload, clock.Scale{})
 		number, sequence, id := uint32(reader.Uint()), reader.Uint(), reader.Bytes()
 		_, acceptedHere := accepted[number]
-		acceptedEarlier := result.hasEarlierRecords && !acceptedHere
+		acceptedEarlier := !acceptedHere && slices.ContainsFunc(result.acceptedBefore,
+			func(r numberRange) bool { return r.contains(number) })
 		remembered := sequence >= result.retainFromSeq && len(id) > 0
 		if remembered || acceptedEarlier {
-			result.retained.add(sequence, size, remembered)
+			result.retained.add(number, sequence, size, remembered)
 		}
 		return remembered || acceptedEarlier
 	case recordAccepted, recordAcceptedMemoryOnly, recordSnapshot:
-		forEachNumber(payload, func(number uint32) { accepted[number] = struct{}{} })
+		forEachNumber(payload, func(number uint32) {
+			accepted[number] = struct{}{}
+			if result.isLive(number) {
+				result.accepted.add(number)
+			}
+		})
 	}
 	live := false
-	forEachNumber(payload, func(number uint32) {
-		_, found := slices.BinarySearch(result.liveNumbers, number)
-		live = live || found
-	})
+	forEachNumber(payload, func(number uint32) { live = live || result.isLive(number) })
 	result.completionsOnly = result.completionsOnly && !live
 	return live
 }
+
+// isLive reports whether the message with that number was pending when the job was created.
+func (job *compactionJob) isLive(number uint32) bool {
+	_, found := slices.BinarySearch(job.liveNumbers, number)
+	return found
+}
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -107,6 +107,7 @@
 	number     uint32   // message that the record belongs to; 0: see numbers and completed
 	numbers    []uint32 // of an attempt with several messages
 	kind       entryKind
+	accepts    bool   // it is the accepted record of a message
 	completed  uint32 // message that the record completes; 0: none
 }
 
@@ -240,7 +241,7 @@
 	j.maxNumber = max(j.maxNumber, m.Number)
 	j.beginRecord()
 	j.arena = appendTerms(appendMessage(append(j.arena, kind), m, j.config.TimeScale), m.Terms)
-	if j.endRecord(entry{number: m.Number, kind: entryAccepted}); len(m.PluginNotes) > 0 {
+	if j.endRecord(entry{number: m.Number, kind: entryAccepted, accepts: true}); len(m.PluginNotes) > 0 {
 		j.beginRecord()
 		j.arena = appendText(beginPayload(j.arena, recordPluginNotes, m.Number), m.PluginNotes)
 		j.endRecord(entry{number: m.Number, kind: entryAccepted})
@@ -442,6 +443,9 @@
 	}
 	seg := j.segments[len(j.segments)-1]
 	for _, e := range j.batch {
+		if e.accepts {
+			seg.accepted.add(e.number)
+		}
 		if e.number != 0 {
 			j.addRecordBytes(seg, e.number, int64(e.end-e.start))
 		}
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -316,3 +316,48 @@
 	}
 	r.run(t, 200, 64<<10, 16)
 }
+
+// Guards against a folder that fills since one old segment can't be read: the completions of all
+// later messages were retained, in case it holds their accepted records.
+func TestUnreadableSegmentDoesNotRetainCompletions(t *testing.T) {
+	const budget = 600e3
+	accepted := func(t *testing.T, disk *faultfs.FS) { // leaves a segment that is not compacted
+		r := newReclaimer(t, journal.Config{FS: disk, Budget: budget, CompactInline: true})
+		if _, err := r.accept(64<<10, 16); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Run("invalid header", func(t *testing.T) {
+		t.Parallel()
+		disk := faultfs.New()
+		accepted(t, disk)
+		disk.ModifyFile("000000000001.seg", func(b []byte) []byte { b[0]++; return b })
+		newReclaimer(t, journal.Config{FS: disk, Budget: budget, CompactInline: true}).run(t, 15_000, 30_000, 16)
+	})
+	t.Run("file that can't be replaced", func(t *testing.T) {
+		t.Parallel()
+		disk := &stuckFile{FS: faultfs.New(), name: "000000000001.seg"}
+		accepted(t, disk.FS)
+		newReclaimer(t, journal.Config{FS: disk, Budget: budget, CompactInline: true}).run(t, 15_000, 30_000, 16)
+	})
+}
+
+// stuckFile is a file system with a file that can't be removed or replaced.
+type stuckFile struct {
+	*faultfs.FS
+	name string
+}
+
+func (fs *stuckFile) Remove(name string) error {
+	if name == fs.name {
+		return syscall.EIO
+	}
+	return fs.FS.Remove(name)
+}
+
+func (fs *stuckFile) Rename(from, to string) error {
+	if to == fs.name {
+		return syscall.EIO
+	}
+	return fs.FS.Rename(from, to)
+}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -117,9 +117,12 @@
 		seg.completionsOnly = seg.completionsOnly && err == nil && payload[0] == recordCompleted
 		if err == nil {
 			if err = replay.apply(payload); err == nil {
-				if payload[0] == recordCompleted {
+				switch payload[0] {
+				case recordCompleted:
 					j.rememberCompletion(payload, size)
 					seg.completionBytes += int64(size)
+				case recordAccepted, recordAcceptedMemoryOnly, recordSnapshot:
+					forEachNumber(payload, seg.accepted.add)
 				}
 				forEachNumber(payload, func(number uint32) { seg.messageBytes[number] += int64(size) })
 				return
--- a/internal/memory/journal/segment.go
+++ b/internal/memory/journal/segment.go
@@ -9,6 +9,7 @@
 	liveBytes       int64            // bytes of records of pending messages
 	messageBytes    map[uint32]int64 // the same by message number
 	completionBytes int64            // bytes of completion records
+	accepted        numberRange      // of the messages whose accepted records it holds
 	retained        retainedCompletions
 	completionsOnly bool   // it holds completion records and no others
 	compactedAt     uint64 // number of the active segment at the last compaction; 0: never compacted
@@ -46,15 +47,17 @@
 
 // retainedCompletions counts the completion records that a compaction retained.
 type retainedCompletions struct {
-	idBytes           int64  // bytes of those that are retained for their ids
-	firstSeq, lastSeq uint64 // sequence numbers of these
-	earlierBytes      int64  // bytes of those that are retained only for the accepted record in an older segment
+	idBytes           int64       // bytes of those that are retained for their ids
+	firstSeq, lastSeq uint64      // sequence numbers of these
+	earlierBytes      int64       // bytes of those that are retained only for the accepted record in an older segment
+	earlier           numberRange // of their messages
 }
 
 // add counts a record of size bytes. remembered says that it is retained for its id.
-func (r *retainedCompletions) add(sequence uint64, size int64, remembered bool) {
+func (r *retainedCompletions) add(number uint32, sequence uint64, size int64, remembered bool) {
 	if !remembered {
 		r.earlierBytes += size
+		r.earlier.add(number)
 		return
 	}
 	if r.idBytes == 0 {
@@ -75,3 +78,22 @@
 	}
 	return r.idBytes * int64(r.lastSeq-from+1) / int64(r.lastSeq-r.firstSeq+1)
 }
+
+// numberRange is a range of message numbers. The zero value is empty: numbers begin at 1.
+type numberRange struct{ first, last uint32 }
+
+// add extends the range to number.
+func (r *numberRange) add(number uint32) {
+	if r.last == 0 {
+		r.first = number
+	}
+	r.first, r.last = min(r.first, number), max(r.last, number)
+}
+
+func (r numberRange) contains(number uint32) bool {
+	return r.last > 0 && r.first <= number && number <= r.last
+}
+
+func (r numberRange) overlaps(other numberRange) bool {
+	return r.last > 0 && other.last > 0 && r.first <= other.last && other.first <= r.last
+}
--- a/internal/memory/journal/transfer.go
+++ b/internal/memory/journal/transfer.go
@@ -74,7 +74,7 @@
 	j.maxNumber = max(j.maxNumber, m.Number)
 	j.beginRecord()
 	j.arena = appendSnapshot(append(j.arena, recordSnapshot), m, j.config.TimeScale)
-	if j.endRecord(entry{number: m.Number}); len(m.PluginNotes) > 0 {
+	if j.endRecord(entry{number: m.Number, accepts: true}); len(m.PluginNotes) > 0 {
 		j.beginRecord()
 		j.arena = appendText(beginPayload(j.arena, recordPluginNotes, m.Number), m.PluginNotes)
 		j.endRecord(entry{number: m.Number})
