--- a/internal/memory/journal/loopback_test.go
+++ b/internal/memory/journal/loopback_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -224,3 +225,67 @@
 	}
 	t.Logf("%v, %d bodies lost with the process, %d messages ran", outcomes, lostBodies, len(effects))
 }
+
+// Guards against a relay that refuses everything for good, with nothing pending, once bodies of 64 KiB
+// have filled its folder: whatever is refused is accepted soon after, in two processes.
+func TestLargeBodiesDoNotFillTheFolder(t *testing.T) {
+	program, err := buildRelay()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const (
+		diskMB, messages, senders = 0.5, 800, 3
+		maxWait                   = 10 * time.Second // until a refused message is accepted; a relay maintains its journal each second
+		retryDelay                = 20 * time.Millisecond
+	)
+	w, err := testdouble.NewEnvironment(testdouble.Config{DiskMB: diskMB, Partners: []testdouble.PartnerConfig{{Dest: 7}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	r, err := w.StartRelay(program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(n int) client.Outcome {
+		// A client for each try, since Retry-After applies to the later ones of a client.
+		c, err := client.New(client.Config{Relays: []string{r.Addr}, NoRefusals: true})
+		if err != nil {
+			t.Error(err)
+			return client.Taken
+		}
+		defer c.Close()
+		class := []string{"price-alert", "order-relay", "fee-charge"}[n%3]
+		name := fmt.Sprintf("%s/%d\n", class, n)
+		result, _ := c.Send(context.Background(), client.Message{
+			Class: class, Dest: 7, TimeLeft: 5900 * time.Millisecond,
+			Body: fmt.Appendf(nil, "%s%0*d", name, 64<<10-len(name), 0),
+		})
+		return result.Outcome
+	}
+	var refused atomic.Int64
+	for half := range 2 {
+		var group sync.WaitGroup
+		for sender := range senders {
+			group.Go(func() {
+				for n := half*messages/2 + sender; n < (half+1)*messages/2 && !t.Failed(); n += senders {
+					for start := time.Now(); send(n) != client.Taken; time.Sleep(retryDelay) {
+						if refused.Add(1); time.Since(start) > maxWait {
+							t.Errorf("message %d was refused for %v", n, maxWait)
+							return
+						}
+					}
+				}
+			})
+		}
+		group.Wait()
+		r.Kill()
+		if t.Failed() {
+			t.Fatal(r.LogTail())
+		}
+		if err := r.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("%d refusals of %d messages", refused.Load(), messages)
+}
