Give space back on a disk that is smaller than the budget

What callers saw: on a disk with less space than limits.disk_mb a relay refused everything for good, "records cannot be written: no space left", with nothing held.

A failed write did not count as a lack of space, so completions and the active segment were left as they were. And each Maintain gave the space of the reserve file back to it before the compaction that needed it for its copy, for ever.

A compaction may use the reserve's space: one starts with the failed write, and Maintain leaves the space to a running one, every other time at most.

--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -69,6 +69,7 @@
 	maxNumber           uint32 // largest message number
 	unavailable         bool   // the last write failed
 	reserveSize         int64  // size of the reserve file; 0: there is none
+	reserveDeferred     bool   // the last Maintain left the reserve's space to a compaction
 	jobs                chan compactionJob
 	results             chan compactionResult
 	compacting          bool  // a compaction is running
@@ -365,6 +366,7 @@
 		j.config.Log.Error("journal write failed; rejecting new messages", "err", err)
 	}
 	j.unavailable = true
+	j.makeSpace()
 	j.stats.Failures++
 	acceptErr = fmt.Errorf("%w: %w", ErrUnavailable, err)
 	// The reserve makes space for attempts and completions on a full disk. No message is accepted
@@ -372,6 +374,7 @@
 	if j.dropEntries(entryAccepted); j.reserveSize > 0 && j.config.FS.Remove(reserveName) == nil {
 		j.reserveSize = 0
 	}
+	defer j.compactIfDue() // it may use the space of the reserve as well
 	if len(j.batch) > 0 && j.writeBatch() != nil {
 		j.dropEntries(entryAttempt)
 		return acceptErr, acceptErr
@@ -385,11 +388,17 @@
 	j.maintenanceRuns++
 	j.pollCompaction()
 	j.truncateActive() // if it fails, the next write or call tries again
-	if j.createReserve(); j.unavailable && (j.reserveSize > 0 || plan.ReserveFileSize(j.config.Budget) == 0) {
+	j.compact()
+	// On a full disk a compaction may need the space of the reserve for its copy. It gets that every
+	// other time only: it may fail again and again.
+	if j.reserveDeferred = j.unavailable && j.compacting && !j.reserveDeferred; !j.reserveDeferred {
+		j.createReserve()
+	}
+	if j.unavailable && !j.reserveDeferred && j.reserveSize >= plan.ReserveFileSize(j.config.Budget) {
 		j.unavailable = false
+		j.remembered.SetLimit(plan.CompletionLimit(j.config.Budget))
 		j.config.Log.Info("journal can be written again; accepting new messages")
 	}
-	j.compact()
 	j.reportFull()
 }
 
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -361,3 +361,19 @@
 	}
 	return fs.FS.Rename(from, to)
 }
+
+// Guards against a relay that stays full on a disk smaller than its budget, with nothing pending: a
+// write that fails counts as a lack of space, and gives back what completed messages hold.
+func TestDiskSmallerThanBudget(t *testing.T) {
+	for _, capacity := range []int64{250e3, 400e3, 1e6} {
+		for _, size := range []int{0, 212, 10_000, 30_000, 62_500, 64 << 10} {
+			t.Run(fmt.Sprintf("%d bytes, bodies of %d", capacity, size), func(t *testing.T) {
+				t.Parallel()
+				disk := faultfs.New()
+				disk.SetCapacity(capacity)
+				r := newReclaimer(t, journal.Config{FS: disk, Budget: 3e6, CompactInline: true})
+				r.run(t, 6000, size, 16)
+			})
+		}
+	}
+}
