Remove adopted files later where that failed at first

After an upgrade or a crash a process adopts what others left.

Change: what could not be removed is tried again each second, by removal alone: it is never read or adopted again, since ids of messages that completed meanwhile may be forgotten by then. An unreadable directory still waits for the next start, for that same reason (docs/status.md).

Test: TestAdoptedFilesAreRemovedLater. It calls the new function and so does not compile before; there was no second attempt in the code before. The daemon's tests pass.

Read on the way and found sound: late listeners of endpoint connections, instances of plug-ins, the server's capacity, backoffs of routes that left the list, notices (retried for good), bytes of bodies in memory.

--- a/internal/daemon/adopt.go
+++ b/internal/daemon/adopt.go
@@ -123,7 +123,11 @@
 	if !s.waitCommitted(s.host.Adopt(wire.Transfer{CompletedIDs: j.table.CompletedIDs()})) {
 		return s.ctx.Err()
 	}
-	return s.stateDir.Remove(j.dir)
+	err := s.stateDir.Remove(j.dir)
+	if err != nil {
+		s.keepLeftover(j.dir.Path, func() error { return s.stateDir.Remove(j.dir) })
+	}
+	return err
 }
 
 // messagesInOrder lists the messages in the order of their numbers.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -351,7 +351,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var takeOvers sync.WaitGroup
 	stopTakeOver = func() { cancel(); takeOvers.Wait() }
-	successor := &successor{r, ctx, map[string]bool{}, map[string]string{}}
+	successor := newSuccessor(ctx, r)
 	predecessorLeaving := false
 	if takeOver {
 		predecessorLeaving = successor.takeOver()
@@ -389,6 +389,8 @@
 	if predecessorLeaving {
 		r.takingOver.Store(true)
 		takeOvers.Go(successor.takeOverUntilLast)
+	} else {
+		takeOvers.Go(successor.removeLeftoversUntilNone)
 	}
 	return stopTakeOver, nil
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -28,6 +28,11 @@
 	// By sender: its latest file that was adopted. It stays in the spool without its messages, for a
 	// successor that is restarted.
 	latestTransfer map[string]string
+	leftovers      []leftover
+}
+
+func newSuccessor(ctx context.Context, r *relay) *successor {
+	return &successor{relay: r, ctx: ctx, unreadable: map[string]bool{}, latestTransfer: map[string]string{}}
 }
 
 // takeOverRetryLimit is how long reading is retried before what can't be read is left alone.
@@ -102,6 +107,7 @@
 	s.server.Load().Configure(&s.config.Settings, clients)
 	s.takingOver.Store(false)
 	s.log.Info("the process before has left, all is taken over")
+	s.removeLeftoversUntilNone()
 }
 
 // waitCommitted waits until adopted messages are in the journal, and reports whether they are. When
@@ -180,11 +186,13 @@
 	}
 }
 
-// removeTransfer removes a file of the spool. One that can't be removed is not read again.
+// removeTransfer removes a file of the spool. One that can't be removed now is not read again, and is
+// removed later.
 func (s *successor) removeTransfer(name string) {
 	if err := s.stateDir.RemoveTransfer(name); err != nil {
 		s.unreadable[name] = true
 		s.log.Error("adopted transfer can't be removed", "file", name, "err", err)
+		s.keepLeftover(name, func() error { return s.stateDir.RemoveTransfer(name) })
 	}
 }
 
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -49,7 +49,7 @@
 	go func() { host.Run(stop); close(done) }()
 	t.Cleanup(func() { close(stop); <-done; messageJournal.Close(); stateDir.Release(processDir, false) })
 	r := &relay{stateDir: stateDir, dir: processDir, host: host, log: log, config: &config.Config{DiskBytes: 1 << 20}}
-	return &successor{r, context.Background(), map[string]bool{}, map[string]string{}}
+	return newSuccessor(context.Background(), r)
 }
 
 // The latest update of each process stays in the spool, without its messages, until no process is
