--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -10,11 +10,7 @@
 import (
 	"encoding/binary"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"oatfold/internal/clock"
@@ -89,83 +85,6 @@
 	UsedBytes                                int64
 }
 
-// location counts the bytes that the records of one message take in one segment. locations holds
-// all of one message; the first is stored inline to save an allocation.
-type (
-	location struct {
-		segment *segment
-		bytes   int64
-	}
-	locations struct {
-		first location
-		rest  []location
-	}
-)
-
-// entry is a record that waits for the next write.
-type entry struct {
-	start, end int      // offsets in the arena
-	number     uint32   // message that the record belongs to; 0: see numbers and completed
-	numbers    []uint32 // of an attempt with several messages
-	kind       entryKind
-	accepts    bool   // it is the accepted record of a message
-	completed  uint32 // message that the record completes; 0: none
-}
-
-// entryKind selects what happens to a record that can't be written.
-type entryKind int
-
-const (
-	entryRetained entryKind = iota // kept until it is written
-	entryAccepted                  // dropped: its message is not accepted
-	entryAttempt                   // dropped: its call is not made
-)
-
-// rotate seals the active segment and creates the next one.
-func (j *Journal) rotate() error {
-	seg := &segment{number: 1, messageBytes: map[uint32]int64{}}
-	if n := len(j.segments); n > 0 {
-		seg.number = j.segments[n-1].number + 1
-	}
-	f, err := j.config.FS.Create(seg.name())
-	if err != nil {
-		return fmt.Errorf("journal: %w", err)
-	}
-	salt := rand.Uint32()
-	header := appendHeader(nil, seg.number, j.maxNumber, salt)
-	if n, err := f.Write(header); err != nil || n < len(header) {
-		f.Close()
-		j.config.FS.Remove(seg.name())
-		return fmt.Errorf("journal: %w", errors.Join(err, io.ErrShortWrite))
-	}
-	if j.activeFile != nil {
-		j.activeFile.Close()
-	}
-	j.setSegmentSize(seg, int64(len(header)))
-	j.activeFile, j.validSize, j.needsTruncate, j.writeRefused, j.salt = f, seg.size, false, false, salt
-	j.segments = append(j.segments, seg)
-	return nil
-}
-
-// createReserve creates the reserve file, whose space is released when the disk is full so that
-// completions can still be written, or makes it smaller after the budget was lowered. If that fails,
-// Maintain tries again.
-func (j *Journal) createReserve() {
-	size := plan.ReserveFileSize(j.config.Budget)
-	if j.reserveSize > 0 && j.reserveSize <= size || size == j.reserveSize {
-		return
-	}
-	if size == 0 {
-		if j.config.FS.Remove(reserveName) == nil {
-			j.reserveSize = 0
-		}
-		return
-	}
-	if err := writeFileAtomic(j.config.FS, reserveName, make([]byte, size), noPause); err == nil {
-		j.reserveSize = size
-	}
-}
-
 // Close stops compaction and closes the active segment. Records that were not committed are lost.
 func (j *Journal) Close() error {
 	if j.jobs != nil {
@@ -183,31 +102,12 @@
 	j.remembered.SetLimit(plan.CompletionLimit(budget))
 }
 
-// usedBytes returns the space that all files use on disk.
-func (j *Journal) usedBytes() int64 { return j.segmentBytes + j.reserveSize }
-
 // Stats returns the current statistics.
 func (j *Journal) Stats() Stats {
 	j.stats.Segments, j.stats.UsedBytes = len(j.segments), j.usedBytes()
 	return j.stats
 }
 
-// --- records ---
-
-// beginRecord starts a record in the arena. The caller appends the payload, then calls endRecord.
-func (j *Journal) beginRecord() { j.arena = beginFrame(j.arena) }
-
-// endRecord finishes the record and adds it to the batch.
-func (j *Journal) endRecord(e entry) {
-	if n := len(j.batch); n > 0 {
-		e.start = j.batch[n-1].end
-	}
-	e.end = len(j.arena)
-	finishFrame(j.arena, e.start)
-	j.batch = append(j.batch, e)
-	j.batchBytes += int64(e.end - e.start)
-}
-
 // beginPayload appends the record type and the message number.
 func beginPayload(b []byte, kind byte, number uint32) []byte {
 	return binary.AppendUvarint(append(b, kind), uint64(number))
@@ -251,45 +151,6 @@
 	return nil
 }
 
-// LimitBodyMemory releases the body of m, whose record is committed, if bodies exceed their memory
-// limit.
-func (j *Journal) LimitBodyMemory(table *memory.Table, m *memory.Message) {
-	if journaled, _ := table.BodyBytes(); j.config.MaxBodyBytes > 0 && journaled > j.config.MaxBodyBytes &&
-		!m.MemoryOnly && len(m.Body) > 0 {
-		table.SpillBody(m)
-	}
-}
-
-// ErrBodyLost is returned when a body can't be read back from the journal.
-var ErrBodyLost = errors.New("journal: message body is not readable")
-
-// BodyLoader returns a function that reads the body of m from the journal. The function blocks on
-// disk I/O and may be called on any goroutine. It returns ErrBodyLost if the body can't be read.
-func (j *Journal) BodyLoader(m *memory.Message) func() ([]byte, error) {
-	recorded, ok := j.locations[m.Number]
-	if !ok {
-		return func() ([]byte, error) { return nil, ErrBodyLost }
-	}
-	// Compaction replaces the segment atomically: the name always leads to a file that holds the
-	// record.
-	name, fs, number, timeScale := recorded.first.segment.name(), j.config.FS, m.Number, j.config.TimeScale
-	return func() (body []byte, err error) {
-		raw, err := fs.Read(name)
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrBodyLost, err)
-		}
-		err = ErrBodyLost
-		walkRecords(raw, func(_, _ int, payload []byte, bad error) {
-			if bad == nil && err != nil && (payload[0] == recordAccepted || payload[0] == recordSnapshot) {
-				if m := newRecordReader(payload, timeScale).message(); m.Number == number {
-					body, err = m.Body, nil
-				}
-			}
-		})
-		return body, err
-	}
-}
-
 // AppendAttempt records that an attempt starts with these messages, one at least. The first byte of
 // the call may be sent only after Commit succeeds.
 func (j *Journal) AppendAttempt(startedAt time.Time, messages []*memory.Message) {
@@ -339,49 +200,6 @@
 	j.remembered.Add(j.completedSeq, int64(size))
 }
 
-// BatchFull reports whether the records that wait for Commit would fill a segment. More would make
-// one that takes long to become free.
-func (j *Journal) BatchFull() bool { return j.batchBytes >= plan.SegmentSize(j.config.Budget) }
-
-// Commit writes the batch of records with one write. If acceptErr is set, the messages accepted
-// since the last Commit are not accepted. If attemptErr is set, the attempts since the last Commit
-// must not be made. Both wrap ErrUnavailable. Other records are kept and written as soon as the
-// disk allows it.
-func (j *Journal) Commit() (acceptErr, attemptErr error) {
-	j.pollCompaction()
-	if len(j.batch) == 0 {
-		j.compactIfDue()
-		return nil, nil
-	}
-	err := j.writeBatch()
-	if err != nil && !j.unavailable && j.validSize > int64(headerSize) {
-		err = j.writeBatch() // in a new segment, since the file size may be limited
-	}
-	if err == nil {
-		j.unavailable = false
-		j.compactIfDue()
-		return nil, nil
-	}
-	if !j.unavailable {
-		j.config.Log.Error("journal write failed; rejecting new messages", "err", err)
-	}
-	j.unavailable = true
-	j.makeSpace()
-	j.stats.Failures++
-	acceptErr = fmt.Errorf("%w: %w", ErrUnavailable, err)
-	// The reserve makes space for attempts and completions on a full disk. No message is accepted
-	// until it can be created again.
-	if j.dropEntries(entryAccepted); j.reserveSize > 0 && j.config.FS.Remove(reserveName) == nil {
-		j.reserveSize = 0
-	}
-	defer j.compactIfDue() // it may use the space of the reserve as well
-	if len(j.batch) > 0 && j.writeBatch() != nil {
-		j.dropEntries(entryAttempt)
-		return acceptErr, acceptErr
-	}
-	return acceptErr, nil
-}
-
 // Maintain is to be called at intervals, even when nothing is written. It handles finished
 // compactions, repeats what a faulty disk refused, and detects that a full disk has space again.
 func (j *Journal) Maintain() {
@@ -395,123 +213,8 @@
 		j.createReserve()
 	}
 	if j.unavailable && !j.reserveDeferred && j.reserveSize >= plan.ReserveFileSize(j.config.Budget) {
-		j.unavailable = false
-		j.remembered.SetLimit(plan.CompletionLimit(j.config.Budget))
+		j.markWritable()
 		j.config.Log.Info("journal can be written again; accepting new messages")
 	}
 	j.reportFull()
 }
-
-// dropEntries removes the entries of one kind from the batch.
-func (j *Journal) dropEntries(kind entryKind) {
-	remaining, arena := j.batch[:0], j.arena[:0]
-	for _, e := range j.batch {
-		if e.kind != kind {
-			start := len(arena)
-			arena = append(arena, j.arena[e.start:e.end]...)
-			e.start, e.end = start, len(arena)
-			remaining = append(remaining, e)
-		}
-	}
-	j.batch, j.arena, j.batchBytes = remaining, arena, int64(len(arena))
-}
-
-// writeBatch appends the batch to the active segment, or to a new one if that is full or refused
-// the last write. If it fails, the batch is unchanged.
-func (j *Journal) writeBatch() error {
-	if err := j.truncateActive(); err != nil {
-		return err
-	}
-	// After a failed write a new segment is used, since a limit on the file size would fail the
-	// next write as well.
-	if plan.ShouldSeal(j.config.Budget, j.validSize-int64(headerSize), j.batchBytes+maxBatchHeaderSize) ||
-		j.writeRefused && j.validSize > int64(headerSize) {
-		if err := j.rotate(); err != nil {
-			return err
-		}
-	}
-	j.writeBuffer = j.writeBuffer[:0]
-	if j.needsAtomicBatch() {
-		j.writeBuffer = appendBatch(j.writeBuffer, len(j.arena), j.salt)
-	}
-	start := len(j.writeBuffer)
-	j.writeBuffer = append(j.writeBuffer, j.arena...)
-	for _, e := range j.batch {
-		applySalt(j.writeBuffer[start+e.start:], j.salt)
-	}
-	n, err := j.activeFile.Write(j.writeBuffer)
-	if err == nil && n < len(j.writeBuffer) {
-		err = io.ErrShortWrite
-	}
-	if err != nil {
-		// Records whose write is reported as failed are removed before anything else is written.
-		if j.writeRefused = true; n > 0 {
-			j.needsTruncate = j.activeFile.Truncate(j.validSize) != nil
-		}
-		return err
-	}
-	seg := j.segments[len(j.segments)-1]
-	for _, e := range j.batch {
-		if e.accepts {
-			seg.accepted.add(e.number)
-		}
-		if e.number != 0 {
-			j.addRecordBytes(seg, e.number, int64(e.end-e.start))
-		}
-		for _, number := range e.numbers {
-			j.addRecordBytes(seg, number, int64(e.end-e.start))
-		}
-		if e.completed != 0 {
-			seg.completionBytes += int64(e.end - e.start)
-			j.removeRecords(e.completed)
-		}
-	}
-	j.validSize += int64(n)
-	j.setSegmentSize(seg, j.validSize)
-	j.stats.BytesWritten += int64(n)
-	j.stats.Commits++
-	j.stats.Records += int64(len(j.batch))
-	j.batch, j.batchBytes, j.arena = j.batch[:0], 0, j.arena[:0]
-	return nil
-}
-
-// truncateActive removes what a failed write left in the active segment, if that is still due.
-func (j *Journal) truncateActive() error {
-	if !j.needsTruncate {
-		return nil
-	}
-	if err := j.activeFile.Truncate(j.validSize); err != nil {
-		return err
-	}
-	j.needsTruncate = false
-	return nil
-}
-
-// needsAtomicBatch reports whether the batch has several records, at least one of which is void if
-// not all are written. It prevents a restart from accepting messages that were rejected because
-// their write failed half way and could not be truncated.
-func (j *Journal) needsAtomicBatch() bool {
-	return len(j.batch) > 1 && slices.ContainsFunc(j.batch, func(e entry) bool { return e.kind != entryRetained })
-}
-
-// addRecordBytes counts bytes of seg as records of a pending message.
-func (j *Journal) addRecordBytes(seg *segment, number uint32, bytes int64) {
-	j.addLocation(number, location{seg, bytes})
-	seg.messageBytes[number] += bytes
-	seg.liveBytes += bytes
-}
-
-// removeRecords no longer counts the records of a message as those of a pending one.
-func (j *Journal) removeRecords(number uint32) {
-	known, ok := j.locations[number]
-	if !ok {
-		return
-	}
-	known.first.segment.liveBytes -= known.first.bytes
-	delete(known.first.segment.messageBytes, number)
-	for _, loc := range known.rest {
-		loc.segment.liveBytes -= loc.bytes
-		delete(loc.segment.messageBytes, number)
-	}
-	delete(j.locations, number)
-}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -169,28 +169,6 @@
 	}
 }
 
-// addLocation adds bytes of records of a message in one segment.
-func (j *Journal) addLocation(number uint32, loc location) {
-	known, ok := j.locations[number]
-	switch {
-	case !ok:
-		known.first = loc
-	case len(known.rest) > 0 && known.rest[len(known.rest)-1].segment == loc.segment:
-		known.rest[len(known.rest)-1].bytes += loc.bytes
-	case len(known.rest) == 0 && known.first.segment == loc.segment:
-		known.first.bytes += loc.bytes
-	default:
-		known.rest = append(known.rest, loc)
-	}
-	j.locations[number] = known
-}
-
-// setSegmentSize updates the size of a segment and the total.
-func (j *Journal) setSegmentSize(seg *segment, size int64) {
-	j.segmentBytes += plan.DiskSize(size) - plan.DiskSize(seg.size)
-	seg.size = size
-}
-
 // upgradeLegacy converts the newest legacy journal into a segment and leaves the legacy files.
 func (j *Journal) upgradeLegacy(names []string) error {
 	slices.Sort(names)
--- a/internal/memory/journal/segment.go
+++ b/internal/memory/journal/segment.go
@@ -1,6 +1,10 @@
 package journal
 
-import "fmt"
+import (
+	"fmt"
+
+	"oatfold/internal/memory/journal/plan"
+)
 
 // segment is the state of one segment file.
 type segment struct {
@@ -79,6 +83,63 @@
 	return r.idBytes * int64(r.lastSeq-from+1) / int64(r.lastSeq-r.firstSeq+1)
 }
 
+// location counts the bytes that the records of one message take in one segment. locations holds
+// all of one message; the first is stored inline to save an allocation.
+type (
+	location struct {
+		segment *segment
+		bytes   int64
+	}
+	locations struct {
+		first location
+		rest  []location
+	}
+)
+
+// addRecordBytes counts bytes of seg as records of a pending message.
+func (j *Journal) addRecordBytes(seg *segment, number uint32, bytes int64) {
+	j.addLocation(number, location{seg, bytes})
+	seg.messageBytes[number] += bytes
+	seg.liveBytes += bytes
+}
+
+// removeRecords no longer counts the records of a message as those of a pending one.
+func (j *Journal) removeRecords(number uint32) {
+	known, ok := j.locations[number]
+	if !ok {
+		return
+	}
+	known.first.segment.liveBytes -= known.first.bytes
+	delete(known.first.segment.messageBytes, number)
+	for _, loc := range known.rest {
+		loc.segment.liveBytes -= loc.bytes
+		delete(loc.segment.messageBytes, number)
+	}
+	delete(j.locations, number)
+}
+
+// addLocation adds bytes of records of a message in one segment.
+func (j *Journal) addLocation(number uint32, loc location) {
+	known, ok := j.locations[number]
+	switch {
+	case !ok:
+		known.first = loc
+	case len(known.rest) > 0 && known.rest[len(known.rest)-1].segment == loc.segment:
+		known.rest[len(known.rest)-1].bytes += loc.bytes
+	case len(known.rest) == 0 && known.first.segment == loc.segment:
+		known.first.bytes += loc.bytes
+	default:
+		known.rest = append(known.rest, loc)
+	}
+	j.locations[number] = known
+}
+
+// setSegmentSize updates the size of a segment and the total.
+func (j *Journal) setSegmentSize(seg *segment, size int64) {
+	j.segmentBytes += plan.DiskSize(size) - plan.DiskSize(seg.size)
+	seg.size = size
+}
+
 // numberRange is a range of message numbers. The zero value is empty: numbers begin at 1.
 type numberRange struct{ first, last uint32 }
 
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -67,6 +67,14 @@
 	j.compactionWanted = true
 }
 
+// markWritable ends what a failed write began.
+func (j *Journal) markWritable() {
+	if j.unavailable {
+		j.unavailable = false
+		j.remembered.SetLimit(plan.CompletionLimit(j.config.Budget))
+	}
+}
+
 // reportFull logs why messages were refused since the last call, if any were.
 func (j *Journal) reportFull() {
 	if j.refusedForSpace == 0 {
@@ -76,3 +84,25 @@
 		"commits_since_compaction_check", j.stats.Commits-j.lastCompactionCheck)
 	j.refusedForSpace = 0
 }
+
+// createReserve creates the reserve file, whose space is released when the disk is full so that
+// completions can still be written, or makes it smaller after the budget was lowered. If that fails,
+// Maintain tries again.
+func (j *Journal) createReserve() {
+	size := plan.ReserveFileSize(j.config.Budget)
+	if j.reserveSize > 0 && j.reserveSize <= size || size == j.reserveSize {
+		return
+	}
+	if size == 0 {
+		if j.config.FS.Remove(reserveName) == nil {
+			j.reserveSize = 0
+		}
+		return
+	}
+	if err := writeFileAtomic(j.config.FS, reserveName, make([]byte, size), noPause); err == nil {
+		j.reserveSize = size
+	}
+}
+
+// usedBytes returns the space that all files use on disk.
+func (j *Journal) usedBytes() int64 { return j.segmentBytes + j.reserveSize }
