Have the next process of an upgrade exceed the incarnation of the one before

Cause: processes under one number are told apart by a run ID of 8 bits.

Change: the leaving process passes on its incarnation in its transfer, and the next goes above it, also where it joins the fleet later. The field is new and may be missing, so versions can be mixed.

Tests: TestNextProcessExceedsIncarnation failed before (incarnation 1 against 7), TestSameRunID shows the cause.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -133,7 +133,7 @@
 }
 
 // adoptTransfers adopts the files of the spool. Unless a process is still leaving, all senders have
-// ended, and only the numbering counts of their updates.
+// ended, and only the numbering and the incarnation count of their updates.
 func (s *successor) adoptTransfers(leaving bool) {
 	for _, name := range s.stateDir.Transfers() {
 		sender := processdir.TransferSender(name)
@@ -159,7 +159,8 @@
 			continue
 		}
 		if !leaving {
-			update = &handover.Update{Numbering: update.Numbering} // its sender has ended, perhaps long ago
+			// Its sender has ended, perhaps long ago.
+			update = &handover.Update{Numbering: update.Numbering, Incarnation: update.Incarnation}
 		}
 		if s.waitCommitted(s.host.Adopt(wire.Transfer{Sender: sender, Messages: messages, Update: update})) {
 			s.keepLatestTransfer(name, sender, update, len(messages) > 0)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -20,7 +20,8 @@
 	OwnedIDs      []string               `json:"known,omitempty"`   // ids of accepted messages in flight at the sender
 	LearnedState  *policy.LearnedState   `json:"learned,omitempty"` // what its policy engine has learned
 	EndpointList  *EndpointList          `json:"list,omitempty"`
-	Drained       bool                   `json:"drained,omitempty"` // operators have drained the relay
+	Drained       bool                   `json:"drained,omitempty"`     // operators have drained the relay
+	Incarnation   uint32                 `json:"incarnation,omitempty"` // in the fleet; 0: members are not tracked
 
 	PendingOrdered []sequence.Message      `json:"owes,omitempty"`    // pending messages of ordered classes
 	Numbering      *memory.SharedNumbering `json:"numbers,omitempty"` // how both processes number messages from now on
--- a/internal/peers/members/members_test.go
+++ b/internal/peers/members/members_test.go
@@ -301,3 +301,29 @@
 	play(nil)
 	t.Logf("%d fault sequences", sequences)
 }
+
+// A process that draws the run ID of the one before under its number, and a later sequence number, is
+// taken for it until it raises its incarnation, as the next process of an upgrade does.
+func TestSameRunID(t *testing.T) {
+	config := Config{Self: 1, FleetSize: 2, Seed: 1}
+	receiver := New(Config{Self: 0, FleetSize: 2, Seed: 2})
+	hear := func(l *List) {
+		t.Helper()
+		payload := l.encodeSection(0, section{flags: flagPing}, MaxPiggybackBytes)
+		if _, err := receiver.Receive(0, 1, payload); err != nil {
+			t.Fatal(err)
+		}
+	}
+	previous, next := New(config), New(config)
+	hear(previous)
+	next.seq += 1000
+	hear(next)
+	if got := receiver.View(0).Members[1].Incarnation; got != previous.Incarnation() {
+		t.Fatalf("incarnation %d, want that of the previous process", got)
+	}
+	next.RaiseAbove(previous.Incarnation())
+	hear(next)
+	if got := receiver.View(0).Members[1].Incarnation; got <= previous.Incarnation() {
+		t.Errorf("incarnation %d, the previous process had %d", got, previous.Incarnation())
+	}
+}
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -118,6 +118,7 @@
 		}
 	}
 	h.inheritedDrain = h.inheritedDrain || update.Drained
+	h.raiseIncarnationAbove(update.Incarnation)
 	h.applyBackoffs(update.RetryAfters)
 	if h.standby {
 		// Activate reports them to the policy engine.
@@ -191,7 +192,7 @@
 			h.endUnsentCall(cl) // its messages are transferred
 		}
 		state, numbers := h.relay.ExportState(h.now()), h.table.NewSharedNumbering()
-		update := &handover.Update{Drained: drained, LearnedState: &state,
+		update := &handover.Update{Drained: drained, LearnedState: &state, Incarnation: h.incarnation(),
 			EndpointList: &handover.EndpointList{Generation: h.listGeneration},
 			Numbering:    &numbers}
 		for _, ep := range h.endpoints {
--- a/internal/wire/members.go
+++ b/internal/wire/members.go
@@ -21,10 +21,28 @@
 		// The configured seed alone may be shared by two processes: the second would count as an
 		// old incarnation of the first.
 		h.gossiper.EnableMembership(identity.Zone, h.seed^h.startedAt.UnixNano())
+		h.raiseIncarnationAbove(h.inheritedIncarnation)
 	}
 	h.gossiper.EnableChoices(identity.Choices)
 }
 
+// incarnation returns this relay's incarnation in the fleet; 0 if members are not tracked.
+func (h *Host) incarnation() uint32 {
+	if list := h.gossiper.Members(); list != nil {
+		return list.Incarnation()
+	}
+	return 0
+}
+
+// raiseIncarnationAbove raises this relay's incarnation above that of the previous process, at once
+// or when it joins the fleet.
+func (h *Host) raiseIncarnationAbove(previous uint32) {
+	h.inheritedIncarnation = max(h.inheritedIncarnation, previous)
+	if list := h.gossiper.Members(); list != nil {
+		list.RaiseAbove(h.inheritedIncarnation)
+	}
+}
+
 // sendGossip queues messages on the gossip socket.
 func (h *Host) sendGossip(messages []members.Datagram) {
 	for _, message := range messages {
--- a/internal/wire/members_test.go
+++ b/internal/wire/members_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
+	"oatfold/internal/handover"
+	"oatfold/internal/memory/journal"
 	"oatfold/internal/peers"
 	"oatfold/internal/peers/members"
 	"oatfold/policy"
@@ -79,3 +82,46 @@
 		t.Errorf("logged %v, want that the other relay left", logged)
 	}
 }
+
+// The second process of an upgrade exceeds the incarnation of the first, whether it joins the fleet
+// before or after it learns of that. Run IDs do not suffice: one pair in 256 draws the same, and the
+// fleet then took the second process for the first.
+func TestNextProcessExceedsIncarnation(t *testing.T) {
+	identity := FleetIdentity{MembershipEnabled: true, Zone: members.NoZone}
+	join := func(env *testEnv) {
+		socket, err := ListenGossip("127.0.0.1:0", []string{"127.0.0.1:9", "127.0.0.1:9"}, discardLog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		env.t.Cleanup(socket.Close)
+		env.host.StartGossip(socket, identity)
+	}
+	incarnation := func(env *testEnv) (n uint32) {
+		env.host.Do(func(h *Host) { n = h.gossiper.Members().Incarnation() })
+		return n
+	}
+	previous, joined, joins := startEnv(t, answerOK), startEnv(t, answerOK), startEnv(t, answerOK)
+	join(previous)
+	previous.host.Do(func(h *Host) { h.gossiper.Members().RaiseAbove(6) })
+	var update *handover.Update
+	err := previous.host.HandOver(func(file []byte) error {
+		_, text, err := journal.DecodeTransfer(file, clock.Scale{})
+		if err == nil {
+			update, err = handover.Decode(text)
+		}
+		return err
+	}, false, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	join(joined)
+	for _, env := range []*testEnv{joined, joins} {
+		<-env.host.Adopt(Transfer{Update: update})
+	}
+	join(joins)
+	for name, env := range map[string]*testEnv{"joined before": joined, "joins after": joins} {
+		if got, before := incarnation(env), incarnation(previous); got <= before {
+			t.Errorf("%s: incarnation %d, the previous process had %d", name, got, before)
+		}
+	}
+}
