--- a/internal/memory/journal/compaction.go
+++ b/internal/memory/journal/compaction.go
@@ -88,7 +88,7 @@
 // compact starts a compaction if one is worthwhile. If messages are refused and no sealed segment
 // would give space back, the active one is sealed for it.
 func (j *Journal) compact() {
-	if j.compacting {
+	if j.compacting || len(j.segments) == 0 {
 		return
 	}
 	j.compactionWanted, j.lastCompactionCheck = false, j.stats.Commits
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -46,7 +46,7 @@
 type Journal struct {
 	config              Config
 	segments            []*segment // by number; the last one is active
-	activeFile          File       // file of the active segment
+	activeFile          File       // file of the active segment; nil: none could be created yet
 	salt                uint32     // checksum salt of the active segment
 	validSize           int64      // bytes of the active segment that hold complete records
 	needsTruncate       bool       // data after validSize is still to be truncated
@@ -93,6 +93,9 @@
 		}
 		j.jobs = nil
 	}
+	if j.activeFile == nil {
+		return nil
+	}
 	return j.activeFile.Close()
 }
 
@@ -205,14 +208,18 @@
 func (j *Journal) Maintain() {
 	j.maintenanceRuns++
 	j.pollCompaction()
-	j.truncateActive() // if it fails, the next write or call tries again
+	// If one of these fails, the next write or call tries again.
+	j.truncateActive()
+	if j.activeFile == nil {
+		j.rotate()
+	}
 	j.compact()
 	// On a full disk a compaction may need the space of the reserve for its copy. It gets that every
 	// other time only: it may fail again and again.
 	if j.reserveDeferred = j.unavailable && j.compacting && !j.reserveDeferred; !j.reserveDeferred {
 		j.createReserve()
 	}
-	if j.unavailable && !j.reserveDeferred && j.reserveSize >= plan.ReserveFileSize(j.config.Budget) {
+	if j.unavailable && j.activeFile != nil && !j.reserveDeferred && j.reserveSize >= plan.ReserveFileSize(j.config.Budget) {
 		j.markWritable()
 		j.config.Log.Info("journal can be written again; accepting new messages")
 	}
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -10,12 +10,14 @@
 	"oatfold/internal/clock"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal/plan"
+	"oatfold/internal/transient"
 )
 
 // Reading the state directory at startup, and upgrading a legacy journal.
 
 // Open replays the journal in config.FS and starts a new segment. It returns the journal and the
-// table of messages that it holds.
+// table of messages that it holds. On a disk that can't be written for now, the segment is started
+// by a later Commit or Maintain.
 func Open(config Config) (*Journal, *memory.Table, error) {
 	j := &Journal{
 		config: config, locations: map[uint32]locations{},
@@ -63,14 +65,9 @@
 	j.completedSeq, j.maxNumber = replay.completedSeq, max(j.maxNumber, replay.maxNumber)
 	replay.table.StartNumbersAfter(j.maxNumber)
 	j.indexLiveRecords(replay.table)
-	err = j.rotate()
-	if err != nil && config.FS.Remove(reserveName) == nil {
-		err = j.rotate() // release the reserve on a full disk
-	}
-	if err != nil {
+	if err := j.startWriting(); err != nil {
 		return nil, nil, err
 	}
-	j.createReserve()
 	if !config.CompactInline {
 		j.jobs, j.results = make(chan compactionJob, 1), make(chan compactionResult, 1)
 		go func() {
@@ -87,6 +84,25 @@
 	return j, replay.table, nil
 }
 
+// startWriting creates the first segment of this process. If the disk can't be written for now, the
+// journal opens as unavailable all the same: what it holds must not wait for the disk.
+func (j *Journal) startWriting() error {
+	err := j.rotate()
+	if err != nil && j.config.FS.Remove(reserveName) == nil {
+		err = j.rotate() // release the reserve on a full disk
+	}
+	if err == nil {
+		j.createReserve()
+		return nil
+	}
+	if !transient.Is(err) {
+		return err
+	}
+	j.config.Log.Error("journal write failed; rejecting new messages", "err", err)
+	j.unavailable = true
+	return nil
+}
+
 func splitExt(name string) (base, ext string) {
 	if i := strings.LastIndexByte(name, '.'); i >= 0 {
 		return name[:i], name[i:]
@@ -104,8 +120,11 @@
 	maxNumber, _, err := readHeader(raw)
 	if err != nil {
 		if isLast && len(raw) < headerSize {
+			// The process died while creating it: it has no records. If it stays, the next segment
+			// replaces it.
 			j.maxNumber = max(j.maxNumber, replay.maxNumber)
-			return j.config.FS.Remove(seg.name()) // the process died while creating it: it has no records
+			j.config.FS.Remove(seg.name())
+			return nil
 		}
 		j.config.Log.Error("journal segment has no valid header; skipping it", "segment", seg.name(), "err", err)
 		seg.size, seg.busy = int64(len(raw)), true // kept for inspection
@@ -135,7 +154,9 @@
 		j.config.Log.Warn("truncating incomplete record at the end of a journal segment",
 			"segment", seg.name(), "bytes", len(raw)-end)
 		if err := j.config.FS.Truncate(seg.name(), int64(end)); err != nil {
-			return fmt.Errorf("journal: %w", err)
+			// Nothing is written behind it, and each reading ends there.
+			j.config.Log.Warn("incomplete record stays in a journal segment", "segment", seg.name(), "err", err)
+			end = len(raw)
 		}
 	}
 	seg.size = int64(end)
--- a/internal/memory/journal/writer.go
+++ b/internal/memory/journal/writer.go
@@ -110,7 +110,7 @@
 	}
 	// After a failed write a new segment is used, since a limit on the file size would fail the
 	// next write as well.
-	if plan.ShouldSeal(j.config.Budget, j.validSize-int64(headerSize), j.batchBytes+maxBatchHeaderSize) ||
+	if j.activeFile == nil || plan.ShouldSeal(j.config.Budget, j.validSize-int64(headerSize), j.batchBytes+maxBatchHeaderSize) ||
 		j.writeRefused && j.validSize > int64(headerSize) {
 		if err := j.rotate(); err != nil {
 			return err
