Adopt later what a takeover could not read, in place of leaving it to the next start

Cause: a takeover looked once. It was left so since ids of messages that completed meanwhile may be forgotten, and one of them in an old copy would run again.

Change: what could not be read is tried again each second. The ids known when the read failed, and those adopted since, are kept until all is read, so that a later copy of such a message is dropped; nothing is kept in an ordinary takeover.

TestUnreadableDirIsAdoptedLater and TestLateAdoptionDoesNotRepeat call the new steps and so did not compile before; the second was seen to fail with the ids not kept (1 pending, want 0).

--- a/internal/daemon/adopt.go
+++ b/internal/daemon/adopt.go
@@ -40,9 +40,10 @@
 
 // openJournals reads directories, each listed before its successor's, and keeps only the latest
 // state of each message. A directory whose successor's directory can't be read is skipped as well,
-// since its messages may have been sent.
+// since its messages may have been sent. Those that are skipped are adopted later.
 func (s *successor) openJournals(abandoned []*processdir.Dir) (journals []*leftJournal) {
 	unreadable := map[string]bool{}
+	var skipped []*processdir.Dir
 	for _, dir := range slices.Backward(abandoned) {
 		var err error
 		j := &leftJournal{dir: dir}
@@ -58,11 +59,16 @@
 		}
 		if err != nil {
 			unreadable[dir.Name] = true
-			s.logNotAdopted(dir, err)
+			skipped = append(skipped, dir)
+			if !s.finishing {
+				s.logNotAdopted(dir, err)
+			}
 			continue
 		}
 		journals = append(journals, j)
 	}
+	slices.Reverse(skipped)
+	s.keepUnadopted(skipped)
 	slices.Reverse(journals)
 	dropOutdated(journals)
 	return journals
@@ -103,7 +109,7 @@
 	if err := j.dir.Claim(s.dir); err != nil {
 		s.log.Warn("successor can't be recorded in the process directory", "room", j.dir.Path, "err", err)
 	}
-	remaining := j.messagesInOrder()
+	remaining := s.withoutKnown(j.messagesInOrder())
 	for len(remaining) > 0 {
 		if err := s.ctx.Err(); err != nil {
 			return err
@@ -114,15 +120,18 @@
 		}
 		for _, m := range remaining[:n] {
 			j.remove(m)
+			s.unadopted.addKnown(m.ID)
 		}
 		if _, err := j.journal.Commit(); err != nil {
 			s.log.Warn("journal of an adopted directory can't be written", "room", j.dir.Path, "err", err)
 		}
 		remaining = remaining[n:]
 	}
-	if !s.waitCommitted(s.host.Adopt(wire.Transfer{CompletedIDs: j.table.CompletedIDs()})) {
+	completed := j.table.CompletedIDs()
+	if !s.waitCommitted(s.host.Adopt(wire.Transfer{CompletedIDs: completed})) {
 		return s.ctx.Err()
 	}
+	s.unadopted.addKnown(completed...)
 	err := s.stateDir.Remove(j.dir)
 	if err != nil {
 		s.keepLeftover(j.dir.Path, func() error { return s.stateDir.Remove(j.dir) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -390,7 +390,7 @@
 		r.takingOver.Store(true)
 		takeOvers.Go(successor.takeOverUntilLast)
 	} else {
-		takeOvers.Go(successor.removeLeftoversUntilNone)
+		takeOvers.Go(successor.finish)
 	}
 	return stopTakeOver, nil
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -10,6 +10,7 @@
 	"oatfold/internal/handover/processdir"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
+	"oatfold/internal/transient"
 	"oatfold/internal/wire"
 )
 
@@ -29,6 +30,8 @@
 	// successor that is restarted.
 	latestTransfer map[string]string
 	leftovers      []leftover
+	unadopted      unadopted
+	finishing      bool // the takeover is over but for what could not be read before
 }
 
 func newSuccessor(ctx context.Context, r *relay) *successor {
@@ -48,25 +51,12 @@
 // takeOver adopts what other processes have left so far, and reports whether one is still leaving.
 func (s *successor) takeOver() (leaving bool) {
 	s.host.BeginTransferScan()
-	var running []string
-	var abandoned []*processdir.Dir
-	err := s.retry("directories of other processes can't be listed", func() (err error) {
-		for _, dir := range abandoned {
-			s.stateDir.Release(dir, false) // locked by an attempt that failed
-		}
-		running, abandoned, err = s.stateDir.Others(s.dir)
-		return err
-	})
-	if err != nil {
-		s.log.Error("directories of other processes not listed", "err", err)
-	}
-	for _, name := range running {
-		leaving = leaving || s.stateDir.Status(name) == processdir.StatusServing
-	}
+	others := s.listOthers()
+	leaving = s.isLeaving(others.running)
 	// A message may be both in a directory and in a transfer: the transfer is read first. All
 	// transfers of the process of an abandoned directory are there by now.
 	s.adoptTransfers(leaving)
-	s.adoptAll(s.openJournals(abandoned))
+	s.adoptAll(s.openJournals(others.abandoned))
 	if s.ctx.Err() != nil {
 		return leaving // not complete: later messages of an ordering key must not overtake what is left
 	}
@@ -84,6 +74,35 @@
 	return leaving
 }
 
+// otherProcesses are the directories of other processes, as far as they could be listed.
+type otherProcesses struct {
+	running   []string
+	abandoned []*processdir.Dir // locked by this process
+}
+
+// listOthers lists the directories of other processes.
+func (s *successor) listOthers() (others otherProcesses) {
+	err := s.retry("directories of other processes can't be listed", func() (err error) {
+		for _, dir := range others.abandoned {
+			s.stateDir.Release(dir, false) // locked by an attempt that failed
+		}
+		others.running, others.abandoned, err = s.stateDir.Others(s.dir)
+		return err
+	})
+	if s.unadopted.unlisted = err != nil; err != nil {
+		s.beginUnadopted()
+		s.log.Error("directories of other processes not listed", "err", err)
+	}
+	return others
+}
+
+// isLeaving reports whether one of the running processes is still leaving.
+func (s *successor) isLeaving(running []string) bool {
+	return slices.ContainsFunc(running, func(name string) bool {
+		return s.stateDir.Status(name) == processdir.StatusServing
+	})
+}
+
 // takeOverUntilLast opens gossip and repeats takeOver until no other process is leaving. Until then
 // this process uses half of its idle connections to endpoints.
 func (s *successor) takeOverUntilLast() {
@@ -107,7 +126,7 @@
 	s.server.Load().Configure(&s.config.Settings, clients)
 	s.takingOver.Store(false)
 	s.log.Info("the process before has left, all is taken over")
-	s.removeLeftoversUntilNone()
+	s.finish()
 }
 
 // waitCommitted waits until adopted messages are in the journal, and reports whether they are. When
@@ -135,6 +154,7 @@
 // adoptTransfers adopts the files of the spool. Unless a process is still leaving, all senders have
 // ended, and only the numbering and the incarnation count of their updates.
 func (s *successor) adoptTransfers(leaving bool) {
+	s.unadopted.unreadTransfers = false
 	for _, name := range s.stateDir.Transfers() {
 		sender := processdir.TransferSender(name)
 		if s.unreadable[name] || s.latestTransfer[sender] == name || s.ctx.Err() != nil {
@@ -147,6 +167,11 @@
 			raw, err = s.stateDir.ReadTransfer(name)
 			return err
 		})
+		if transient.Is(err) {
+			s.unadopted.unreadTransfers = true
+			s.beginUnadopted()
+			continue
+		}
 		if err == nil {
 			var text []byte
 			if messages, text, err = journal.DecodeTransfer(raw, s.stateDir.TimeScale()); err == nil {
@@ -162,8 +187,13 @@
 			// Its sender has ended, perhaps long ago.
 			update = &handover.Update{Numbering: update.Numbering, Incarnation: update.Incarnation}
 		}
+		hadMessages := len(messages) > 0
+		messages = s.withoutKnown(messages)
+		for _, m := range messages {
+			s.unadopted.addKnown(m.ID)
+		}
 		if s.waitCommitted(s.host.Adopt(wire.Transfer{Sender: sender, Messages: messages, Update: update})) {
-			s.keepLatestTransfer(name, sender, update, len(messages) > 0)
+			s.keepLatestTransfer(name, sender, update, hadMessages)
 		}
 	}
 }
--- /dev/null
+++ b/internal/daemon/unfinished.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"errors"
+	"os"
+	"slices"
+	"time"
+
+	"oatfold/internal/handover/processdir"
+	"oatfold/internal/memory"
+)
+
+// This file finishes a takeover of which a step failed: it adopts what could not be read at first,
+// and removes adopted files that could not be removed, which take part of the disk limit.
+
+// unfinishedInterval is the time between two attempts to finish a takeover.
+const unfinishedInterval = time.Second
+
+// unadopted is what other processes left and could not be read yet.
+type unadopted struct {
+	unlisted        bool              // the directories of other processes could not be listed
+	unreadTransfers bool              // files of the spool could not be read
+	dirs            []*processdir.Dir // each before the directory of its successor
+	// Ids of messages that were adopted, or known when something could not be read; nil: all was
+	// read. The table forgets completed messages in time, and one of them must not be adopted again.
+	knownIDs map[string]struct{}
+}
+
+// remains reports whether anything is still to be adopted.
+func (u *unadopted) remains() bool { return u.unlisted || u.unreadTransfers || len(u.dirs) > 0 }
+
+// addKnown adds ids that must not be adopted again, if there is anything left to adopt.
+func (u *unadopted) addKnown(ids ...string) {
+	if u.knownIDs == nil {
+		return
+	}
+	for _, id := range ids {
+		u.knownIDs[id] = struct{}{}
+	}
+}
+
+// isKnown reports whether a message that is adopted later than others must not be.
+func (u *unadopted) isKnown(m *memory.Message) bool {
+	_, known := u.knownIDs[m.ID]
+	return known
+}
+
+// beginUnadopted is called when something can't be read and will be adopted later.
+func (s *successor) beginUnadopted() {
+	if s.unadopted.knownIDs == nil {
+		s.unadopted.knownIDs = map[string]struct{}{}
+		s.unadopted.addKnown(s.host.KnownIDs()...)
+	}
+}
+
+// keepUnadopted keeps directories that can't be read, to be adopted later.
+func (s *successor) keepUnadopted(dirs []*processdir.Dir) {
+	if len(dirs) > 0 {
+		s.beginUnadopted()
+		s.unadopted.dirs = append(s.unadopted.dirs, dirs...)
+	}
+}
+
+// adoptLater tries once more to adopt what could not be read. What a message went through since
+// counts: one that is known by now is not adopted.
+func (s *successor) adoptLater() {
+	if !s.unadopted.remains() {
+		return
+	}
+	s.finishing = true
+	dirs := s.unadopted.dirs
+	s.unadopted.dirs = nil
+	if s.unadopted.unlisted {
+		others := s.listOthers()
+		dirs = append(dirs, others.abandoned...)
+		s.unadopted.unlisted = s.unadopted.unlisted || s.isLeaving(others.running)
+	}
+	s.adoptTransfers(false)
+	journals := s.openJournals(dirs)
+	s.adoptAll(journals)
+	for _, j := range journals {
+		s.log.Info("process directory adopted after all", "room", j.dir.Path)
+	}
+	s.host.SetJournalShare(s.diskBytes(), s.stateDir.UsedBytes(s.dir), true)
+}
+
+// withoutKnown returns the messages that may be adopted now.
+func (s *successor) withoutKnown(messages []*memory.Message) []*memory.Message {
+	if !s.finishing {
+		return messages // where there are several copies, the most recent counts
+	}
+	return slices.DeleteFunc(messages, s.unadopted.isKnown)
+}
+
+// leftover is a file or directory that has been adopted but could not be removed.
+type leftover struct {
+	name   string
+	remove func() error
+}
+
+// keepLeftover has remove tried again later.
+func (s *successor) keepLeftover(name string, remove func() error) {
+	s.leftovers = append(s.leftovers, leftover{name, remove})
+}
+
+// removeLeftovers tries once to remove what is left, and gives the space to this process's journal.
+// It reports whether nothing is left.
+func (s *successor) removeLeftovers() bool {
+	remaining := s.leftovers[:0]
+	for _, l := range s.leftovers {
+		if err := l.remove(); err != nil && !errors.Is(err, os.ErrNotExist) {
+			remaining = append(remaining, l)
+			continue
+		}
+		s.log.Info("adopted files removed after all", "name", l.name)
+	}
+	if len(remaining) < len(s.leftovers) {
+		s.host.SetJournalShare(s.diskBytes(), s.stateDir.UsedBytes(s.dir), true)
+	}
+	s.leftovers = remaining
+	return len(remaining) == 0
+}
+
+// finish repeats what failed in a takeover until nothing is left, or until this process stops or
+// hands over.
+func (s *successor) finish() {
+	for len(s.leftovers) > 0 || s.unadopted.remains() {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-time.After(unfinishedInterval):
+		}
+		s.adoptLater()
+		s.removeLeftovers()
+	}
+	s.unadopted.knownIDs = nil
+}
--- /dev/null
+++ b/internal/daemon/unfinished_test.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"oatfold/internal/memory"
+	"oatfold/internal/wire"
+)
+
+// Guards against an adopted directory whose files can't be removed for a moment and then take part
+// of the disk limit until the next start.
+func TestAdoptedFilesAreRemovedLater(t *testing.T) {
+	dir := t.TempDir()
+	journalState{successor: "-"}.write(t, dir, "")
+	stuck := filepath.Join(dir, "0.tmp") // a directory that is not empty can't be removed
+	if err := os.MkdirAll(filepath.Join(stuck, "file"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	h := startSuccessor(t, dir)
+	h.takeOver()
+	used := h.stateDir.UsedBytes(h.dir)
+	if pending, _ := h.host.Load(); pending != 1 || len(h.leftovers) != 1 {
+		t.Fatalf("%d pending, %d left to remove", pending, len(h.leftovers))
+	}
+	if h.removeLeftovers() {
+		t.Error("removed what can't be removed")
+	}
+	if err := os.Remove(filepath.Join(stuck, "file")); err != nil {
+		t.Fatal(err)
+	}
+	if !h.removeLeftovers() {
+		t.Error("not removed")
+	}
+	if now := h.stateDir.UsedBytes(h.dir); now >= used {
+		t.Errorf("%d bytes are used by others, %d before", now, used)
+	}
+	if pending, _ := h.host.Load(); pending != 1 {
+		t.Errorf("%d pending", pending)
+	}
+	if running, abandoned, err := h.stateDir.Others(h.dir); len(running)+len(abandoned) > 0 || err != nil {
+		t.Errorf("%v running, %d abandoned, %v", running, len(abandoned), err)
+	}
+}
+
+// replaceByDirectory makes a file unreadable, and returns a function that restores it.
+func replaceByDirectory(t *testing.T, path string) (restore func()) {
+	t.Helper()
+	if err := os.Rename(path, path+".away"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(path, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return func() {
+		t.Helper()
+		if err := os.Remove(path); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".away", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against the messages of a process directory that can't be read at the takeover, which got
+// no end before the next start. The directory is adopted as soon as it can be read.
+func TestUnreadableDirIsAdoptedLater(t *testing.T) {
+	dir := t.TempDir()
+	journalState{successor: "-"}.write(t, dir, "")
+	segments, _ := filepath.Glob(filepath.Join(dir, "*.seg"))
+	restore := replaceByDirectory(t, segments[0])
+	h := startSuccessor(t, dir)
+	h.takeOver()
+	h.adoptLater() // still unreadable
+	if pending, _ := h.host.Load(); pending != 0 || !h.unadopted.remains() {
+		t.Fatalf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
+	}
+	restore()
+	h.finish()
+	if pending, _ := h.host.Load(); pending != 1 || h.unadopted.remains() {
+		t.Errorf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
+	}
+}
+
+// A message that was adopted from another copy and completed is not adopted from a directory that
+// becomes readable later, also if its id is forgotten by then.
+func TestLateAdoptionDoesNotRepeat(t *testing.T) {
+	dir := t.TempDir()
+	journalState{successor: "life-1"}.write(t, dir, "")
+	segments, _ := filepath.Glob(filepath.Join(dir, "*.seg"))
+	restore := replaceByDirectory(t, segments[0])
+	journalState{successor: "-", delivered: true}.write(t, dir, "life-1")
+	h := startSuccessor(t, dir)
+	h.takeOver()
+	for n := range 2 * memory.MaxCompletedIDs {
+		<-h.host.Adopt(wire.Transfer{CompletedIDs: []string{fmt.Sprint("later-", n)}})
+	}
+	if slices.Contains(h.host.KnownIDs(), "m") || !h.unadopted.remains() {
+		t.Fatalf("ids %v, to be adopted later: %t", h.host.KnownIDs()[:3], h.unadopted.remains())
+	}
+	restore()
+	h.finish()
+	if pending, _ := h.host.Load(); pending != 0 || h.unadopted.remains() {
+		t.Errorf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
+	}
+}
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -90,6 +90,17 @@
 	h.pendingEvents = append(h.pendingEvents, policy.Withdrawn{ID: m.Number})
 }
 
+// KnownIDs returns the ids of all pending messages and of the completed ones that are remembered.
+func (h *Host) KnownIDs() (ids []string) {
+	h.Do(func(h *Host) {
+		ids = h.table.CompletedIDs()
+		for _, m := range h.table.All() {
+			ids = append(ids, m.ID)
+		}
+	})
+	return ids
+}
+
 // JournalWritable reports whether the last write to the journal succeeded.
 func (h *Host) JournalWritable() (writable bool) {
 	h.Do(func(h *Host) { writable = !h.journal.Unavailable() })
