Keep a standby process and a successor going while the state folder can't be written

What callers would see: one failed write (ENOSPC, EIO) ended a standby process. At the end of an upgrade, with the old process on its way out, nobody served then until somebody started the relay again.

Cause: the status of the standby, and the name of the current directory once it held the leader lock, had to be written at the first attempt. The status `serving` was likewise tried once; without it a later successor takes this process for gone.

Change: the standby's status is written as soon as the disk allows it. The other two are written later, beside service; until the name is, the next start takes the directory for that of another process and adopts it, as after any crash.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -75,6 +75,7 @@
 	zoneNames         []string                    // as configured at the start
 	server            atomic.Pointer[wire.Server] // nil before the relay serves
 	standingBy        atomic.Bool                 // ready, waiting for the leader lock
+	currentUnrecorded bool                        // the state folder does not name this process's directory yet
 	gossip            *wire.GossipSocket
 	plugins           *plugin.Holder
 	metrics           *metrics.Set
@@ -314,22 +315,27 @@
 // standBy waits for the leader lock and reports whether this process holds it; false if it received
 // a stop signal.
 func (r *relay) standBy(ctx context.Context) (bool, error) {
-	if err := r.dir.SetStatus(processdir.StatusReady); err != nil {
-		return false, fmt.Errorf("ROUTER_STATE: %w", err)
-	}
-	r.standingBy.Store(true)
-	r.log.Info("standing by: another process of this relay serves", "room", r.dir.Name)
+	announceCtx, stopAnnouncing := context.WithCancel(ctx)
+	announced := make(chan error, 1)
+	go func() { announced <- r.announceStandby(announceCtx) }()
+	defer func() {
+		stopAnnouncing()
+		<-announced // it must not overwrite a later status
+	}()
 	leaderLock := make(chan error, 1)
 	go func() { leaderLock <- r.retryStart("leader lock can't be waited for", r.stateDir.WaitLeaderLock) }()
 	for {
 		select {
 		case err := <-leaderLock:
-			if err == nil {
-				err = r.stateDir.SetCurrent(r.dir)
-			}
 			if err != nil {
 				return false, fmt.Errorf("ROUTER_STATE: %w", err)
 			}
+			if err := r.stateDir.SetCurrent(r.dir); err != nil {
+				// Nobody else serves now. Until it is recorded, the next start takes the directory
+				// for that of another process, and adopts it.
+				r.log.Warn("the current directory can't be recorded yet", "room", r.dir.Name, "err", err)
+				r.currentUnrecorded = true
+			}
 			return true, nil
 		case <-r.terminate:
 			return false, nil
@@ -344,6 +350,19 @@
 	}
 }
 
+// announceStandby writes to the state folder that this process stands by, as soon as the disk allows
+// it.
+func (r *relay) announceStandby(ctx context.Context) error {
+	err := r.retryUntilDone(ctx, "status of the standby can't be written", func() error {
+		return r.dir.SetStatus(processdir.StatusReady)
+	})
+	if err == nil {
+		r.standingBy.Store(true)
+		r.log.Info("standing by: another process of this relay serves", "room", r.dir.Name)
+	}
+	return err
+}
+
 // serve opens the clients' address. With takeOver it first takes over what other processes left,
 // and continues in the background while one is still leaving; stopTakeOver ends that and waits for
 // it.
@@ -383,6 +402,10 @@
 	if err := r.dir.SetStatus(processdir.StatusServing); err != nil {
 		r.log.Warn("status can't be written to the state folder; a leaving process will not see that this one serves",
 			"err", err)
+		successor.keepStep("status", func() error { return r.dir.SetStatus(processdir.StatusServing) })
+	}
+	if r.currentUnrecorded {
+		successor.keepStep("current directory", func() error { return r.stateDir.SetCurrent(r.dir) })
 	}
 	r.log.Info("ready", "name", r.config.Name, "listen", r.config.ListenAddr, "discovery", r.config.DiscoveryAddr,
 		"slots", r.config.Settings.MaxConcurrentCalls, "held_most", r.config.Settings.MaxPending)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -29,7 +29,7 @@
 	// By sender: its latest file that was adopted. It stays in the spool without its messages, for a
 	// successor that is restarted.
 	latestTransfer map[string]string
-	leftovers      []leftover
+	steps          []unfinishedStep
 	unadopted      unadopted
 	finishing      bool // the takeover is over but for what could not be read before
 }
--- a/internal/daemon/retry.go
+++ b/internal/daemon/retry.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -33,6 +34,25 @@
 	}
 }
 
+// retryUntilDone retries a step, whatever its error, until it succeeds or ctx ends. It then returns
+// the error of ctx.
+func (r *relay) retryUntilDone(ctx context.Context, what string, step func() error) error {
+	for logged := false; ; logged = true {
+		err := step()
+		if err == nil {
+			return nil
+		}
+		if !logged {
+			r.log.Warn(what+" now, retrying", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
 // retryStart retries a step of the start for startRetryLimit, or until the process receives a stop
 // signal.
 func (r *relay) retryStart(what string, step func() error) error {
--- a/internal/daemon/unfinished.go
+++ b/internal/daemon/unfinished.go
@@ -92,46 +92,58 @@
 	return slices.DeleteFunc(messages, s.unadopted.isKnown)
 }
 
-// leftover is a file or directory that has been adopted but could not be removed.
-type leftover struct {
-	name   string
-	remove func() error
+// unfinishedStep is a step that failed and is tried again.
+type unfinishedStep struct {
+	name string
+	run  func() error
+	done string // logged once it succeeds
 }
 
-// keepLeftover has remove tried again later.
+// keepStep has a step tried again later.
+func (s *successor) keepStep(name string, run func() error) {
+	s.steps = append(s.steps, unfinishedStep{name, run, "step done after all"})
+}
+
+// keepLeftover has the removal of an adopted file or directory tried again later.
 func (s *successor) keepLeftover(name string, remove func() error) {
-	s.leftovers = append(s.leftovers, leftover{name, remove})
+	removed := func() error {
+		if err := remove(); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		return nil
+	}
+	s.steps = append(s.steps, unfinishedStep{name, removed, "adopted files removed after all"})
 }
 
-// removeLeftovers tries once to remove what is left, and gives the space to this process's journal.
-// It reports whether nothing is left.
-func (s *successor) removeLeftovers() bool {
-	remaining := s.leftovers[:0]
-	for _, l := range s.leftovers {
-		if err := l.remove(); err != nil && !errors.Is(err, os.ErrNotExist) {
-			remaining = append(remaining, l)
+// runSteps tries each unfinished step once, and gives the space of removed files to this process's
+// journal. It reports whether no step is left.
+func (s *successor) runSteps() bool {
+	remaining := s.steps[:0]
+	for _, step := range s.steps {
+		if step.run() != nil {
+			remaining = append(remaining, step)
 			continue
 		}
-		s.log.Info("adopted files removed after all", "name", l.name)
+		s.log.Info(step.done, "name", step.name)
 	}
-	if len(remaining) < len(s.leftovers) {
+	if len(remaining) < len(s.steps) {
 		s.host.SetJournalShare(s.diskBytes(), s.stateDir.UsedBytes(s.dir), true)
 	}
-	s.leftovers = remaining
+	s.steps = remaining
 	return len(remaining) == 0
 }
 
 // finish repeats what failed in a takeover until nothing is left, or until this process stops or
 // hands over.
 func (s *successor) finish() {
-	for len(s.leftovers) > 0 || s.unadopted.remains() {
+	for len(s.steps) > 0 || s.unadopted.remains() {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-time.After(unfinishedInterval):
 		}
 		s.adoptLater()
-		s.removeLeftovers()
+		s.runSteps()
 	}
 	s.unadopted.knownIDs = nil
 }
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -23,16 +23,16 @@
 	h := startSuccessor(t, dir)
 	h.takeOver()
 	used := h.stateDir.UsedBytes(h.dir)
-	if pending, _ := h.host.Load(); pending != 1 || len(h.leftovers) != 1 {
-		t.Fatalf("%d pending, %d left to remove", pending, len(h.leftovers))
+	if pending, _ := h.host.Load(); pending != 1 || len(h.steps) != 1 {
+		t.Fatalf("%d pending, %d left to remove", pending, len(h.steps))
 	}
-	if h.removeLeftovers() {
+	if h.runSteps() {
 		t.Error("removed what can't be removed")
 	}
 	if err := os.Remove(filepath.Join(stuck, "file")); err != nil {
 		t.Fatal(err)
 	}
-	if !h.removeLeftovers() {
+	if !h.runSteps() {
 		t.Error("not removed")
 	}
 	if now := h.stateDir.UsedBytes(h.dir); now >= used {
