Have a standby process that takes over from a killed one join the fleet

What callers would see: after a SIGKILL or a crash of a relay with a standby, the fleet took the relay for dead as long as the new process lived. It served, but shared no counts, allowances or choices, and /members had no view.

Cause: gossip was opened at the start of a process that serves at once, and in the takeover from one that still leaves. Where the one before was gone already, nobody opened it.

Change: whoever serves joins the fleet; the functions of the gossip socket have a file of their own.

Test: TestStandbyOfKilledRelayJoins, with real processes, failed before (60 s without a view); TestThreeProcesses passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -413,37 +413,14 @@
 		r.takingOver.Store(true)
 		takeOvers.Go(successor.takeOverUntilLast)
 	} else {
-		takeOvers.Go(successor.finish)
+		takeOvers.Go(func() {
+			successor.joinFleet()
+			successor.finish()
+		})
 	}
 	return stopTakeOver, nil
 }
 
-// fleetIdentity returns what the relay announces about itself to its fleet.
-func fleetIdentity(c *config.Config) wire.FleetIdentity {
-	return wire.FleetIdentity{Number: c.RelayNumber, MembershipEnabled: c.MembershipEnabled, Zone: c.Zone,
-		Choices: c.Choices}
-}
-
-// listenGossip opens the socket for gossip between relays. The relay serves without it where it
-// can't be opened.
-func (r *relay) listenGossip() {
-	if len(r.config.PeerAddrs) == 0 {
-		return
-	}
-	var gossip *wire.GossipSocket
-	err := retryTransient("gossip address can't be opened", time.Second, func() bool {
-		return len(r.terminate) > 0
-	}, r.log, func() (err error) {
-		gossip, err = wire.ListenGossip(r.config.PeerListenAddr, r.config.PeerAddrs, r.log)
-		return err
-	})
-	if err != nil {
-		r.log.Warn("no gossip between relays", "peer_listen", r.config.PeerListenAddr, "err", err)
-		return
-	}
-	r.gossip = gossip
-}
-
 // adminCalls returns the handlers of the admin address. A drain request before the relay serves is
 // rejected.
 func (r *relay) adminCalls() admin.Handlers {
--- /dev/null
+++ b/internal/daemon/gossip.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"time"
+
+	"oatfold/internal/daemon/config"
+	"oatfold/internal/wire"
+)
+
+// This file joins the fleet: it opens the socket for gossip between relays. The relay serves without
+// it where it can't be opened.
+
+// gossipRetryLimit bounds how long a start waits for the gossip socket.
+const gossipRetryLimit = time.Second
+
+// fleetIdentity returns what the relay announces about itself to its fleet.
+func fleetIdentity(c *config.Config) wire.FleetIdentity {
+	return wire.FleetIdentity{Number: c.RelayNumber, MembershipEnabled: c.MembershipEnabled, Zone: c.Zone,
+		Choices: c.Choices}
+}
+
+// listenGossip opens the socket for gossip between relays, if there are others.
+func (r *relay) listenGossip() {
+	if len(r.config.PeerAddrs) == 0 {
+		return
+	}
+	var gossip *wire.GossipSocket
+	err := retryTransient("gossip address can't be opened", gossipRetryLimit, func() bool {
+		return len(r.terminate) > 0
+	}, r.log, func() (err error) {
+		gossip, err = wire.ListenGossip(r.config.PeerListenAddr, r.config.PeerAddrs, r.log)
+		return err
+	})
+	if err != nil {
+		r.log.Warn("no gossip between relays", "peer_listen", r.config.PeerListenAddr, "err", err)
+		return
+	}
+	r.gossip = gossip
+}
+
+// joinFleet starts the gossip of a host that runs without.
+func (s *successor) joinFleet() {
+	c := s.config
+	if s.gossip != nil || len(c.PeerAddrs) == 0 {
+		return
+	}
+	if s.listenGossip(); s.gossip != nil {
+		s.host.StartGossip(s.gossip, fleetIdentity(c))
+	}
+}
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -108,9 +108,7 @@
 func (s *successor) takeOverUntilLast() {
 	_, idle := descriptorLimits(s.config)
 	s.host.SetMaxIdleConns(idle / 2)
-	if s.listenGossip(); s.gossip != nil {
-		s.host.StartGossip(s.gossip, fleetIdentity(s.config))
-	}
+	s.joinFleet()
 	for s.takeOver() {
 		select {
 		case <-s.ctx.Done():
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -504,3 +504,32 @@
 		}
 	}
 }
+
+// Guards against a relay that the fleet takes for dead for good: a standby process that took over
+// from a process that was killed opened no gossip socket.
+func TestStandbyOfKilledRelayJoins(t *testing.T) {
+	t.Parallel()
+	_, _, relays, _ := startRelays(t, 3, 3)
+	r := run{relays: relays}
+	if err := r.waitUntil(context.Background(), "all relays to know one another", r.membersAgree); err != nil {
+		t.Fatalf("%v: %s", err, r.memberDisagreement())
+	}
+	next, err := relays[1].StartNextProcess()
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitLog(t, next, "standing by")
+	relays[1].Kill()
+	awaitLog(t, next, "msg=ready")
+	relays[1] = next
+	if err := r.waitUntil(context.Background(), "the new process to have heard of the others", func() bool {
+		v, err := r.fetchMembers(1)
+		return err == nil && len(v.Members) == 3 && v.Members[0].State == "alive" && v.Members[2].State == "alive"
+	}); err != nil {
+		t.Fatalf("%v\n%s", err, next.LogTail())
+	}
+	time.Sleep(5 * members.Period) // a process that sends nothing would be suspected by now
+	if err := r.waitUntil(context.Background(), "all relays to know one another", r.membersAgree); err != nil {
+		t.Fatalf("%v: %s", err, r.memberDisagreement())
+	}
+}
