Open the gossip socket later where it can't be opened at the start

What callers would see: a relay whose gossip socket could not be opened within 1 s of its start (no descriptor left, an address that another process still holds) had no gossip for the rest of its life, and the fleet took it for dead.

Cause: the socket was tried for 1 s and then never again.

Change: it is tried again each second beside service. A drain that was announced before the relay joins is told to the fleet as it joins.

--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -8,7 +8,7 @@
 )
 
 // This file joins the fleet: it opens the socket for gossip between relays. The relay serves without
-// it where it can't be opened.
+// it where it can't be opened, and tries again.
 
 // gossipRetryLimit bounds how long a start waits for the gossip socket.
 const gossipRetryLimit = time.Second
@@ -38,7 +38,8 @@
 	r.gossip = gossip
 }
 
-// joinFleet starts the gossip of a host that runs without.
+// joinFleet starts the gossip of a host that runs without, now or as soon as its socket can be
+// opened.
 func (s *successor) joinFleet() {
 	c := s.config
 	if s.gossip != nil || len(c.PeerAddrs) == 0 {
@@ -46,5 +47,15 @@
 	}
 	if s.listenGossip(); s.gossip != nil {
 		s.host.StartGossip(s.gossip, fleetIdentity(c))
+		return
 	}
+	s.keepStep("gossip between relays", func() error {
+		gossip, err := wire.ListenGossip(c.PeerListenAddr, c.PeerAddrs, s.log)
+		if err != nil {
+			return err
+		}
+		s.gossip = gossip
+		s.host.StartGossip(gossip, fleetIdentity(c))
+		return nil
+	})
 }
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -108,3 +109,24 @@
 		t.Errorf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
 	}
 }
+
+// Guards against a relay without gossip for all its life, since the socket could not be opened at
+// one moment.
+func TestGossipIsOpenedLater(t *testing.T) {
+	taken, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := startSuccessor(t, t.TempDir())
+	h.config.PeerListenAddr = taken.LocalAddr().String()
+	h.config.PeerAddrs = []string{h.config.PeerListenAddr, "127.0.0.1:9"}
+	h.joinFleet()
+	if h.gossip != nil || h.runSteps() {
+		t.Fatal("opened an address that is taken")
+	}
+	taken.Close()
+	if !h.runSteps() || h.gossip == nil {
+		t.Fatal("not opened, though the address is free")
+	}
+	h.gossip.Close()
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -106,6 +106,7 @@
 	inheritedCalls            []policy.InheritedCall // calls that the previous process still has in flight
 	inheritedState            policy.LearnedState    // from the previous process, until Activate
 	inheritedDrain            bool                   // the operators drained the previous process
+	leaving                   bool                   // the fleet is told that this relay leaves or is drained
 	inheritedIncarnation      uint32                 // of the previous process in the fleet; 0: unknown
 	ownedElsewhere            map[string]struct{}    // ids of messages that the previous process accepted and keeps
 	sequencer                 sequence.Sequencer     // holds messages while another process owes earlier ones
--- a/internal/wire/members.go
+++ b/internal/wire/members.go
@@ -24,6 +24,9 @@
 		h.raiseIncarnationAbove(h.inheritedIncarnation)
 	}
 	h.gossiper.EnableChoices(identity.Choices)
+	if h.leaving {
+		h.gossiper.Leave(h.now())
+	}
 }
 
 // incarnation returns this relay's incarnation in the fleet; 0 if members are not tracked.
@@ -109,7 +112,7 @@
 // SetLeaving tells the fleet that this relay leaves or is drained, or that it is back.
 func (h *Host) SetLeaving(leaving bool) {
 	h.Do(func(h *Host) {
-		if leaving {
+		if h.leaving = leaving; leaving {
 			h.gossiper.Leave(h.now())
 		} else {
 			h.gossiper.CancelLeave(h.now())
