Write the clock mark later where the folder can't be written at the start

What callers would see: where the first start on a folder met a failed write (ENOSPC, EIO), the folder kept no clock mark. After a step of the wall clock a restart gave up messages that still had time, or held them past it.

Cause: the mark was written at the start or never, and nothing depends on when it is written: it pairs a date with a moment of the monotonic clock.

Test: TestClockMarkIsWrittenLater, which calls the new step and so did not compile before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -407,6 +407,9 @@
 	if r.currentUnrecorded {
 		successor.keepStep("current directory", func() error { return r.stateDir.SetCurrent(r.dir) })
 	}
+	if !r.stateDir.ClockMarkSaved() {
+		successor.keepStep("clock mark", r.stateDir.SaveClockMark)
+	}
 	r.log.Info("ready", "name", r.config.Name, "listen", r.config.ListenAddr, "discovery", r.config.DiscoveryAddr,
 		"slots", r.config.Settings.MaxConcurrentCalls, "held_most", r.config.Settings.MaxPending)
 	if predecessorLeaving {
--- a/internal/handover/processdir/processdir.go
+++ b/internal/handover/processdir/processdir.go
@@ -45,6 +45,7 @@
 	log           *slog.Logger
 	transferCount int
 	timeScale     clock.Scale
+	unsavedMark   []byte // clock mark that could not be written yet; nil: none
 }
 
 // Dir is the directory where one process writes its journal. An empty name is the state folder
@@ -88,13 +89,29 @@
 		}
 		return scale
 	}
-	if err := s.writeFile(clockMarkName, now.Encode()); err != nil {
+	s.unsavedMark = now.Encode()
+	if err := s.SaveClockMark(); err != nil {
 		s.log.Warn("the clock mark can't be written to the state folder; a step of the wall clock would move deadlines",
 			"err", err)
 	}
 	return scale
 }
 
+// ClockMarkSaved reports whether later processes can continue the time scale of this one.
+func (s *StateDir) ClockMarkSaved() bool { return s.unsavedMark == nil }
+
+// SaveClockMark writes the clock mark if that has failed so far. It holds at any later time.
+func (s *StateDir) SaveClockMark() error {
+	if s.unsavedMark == nil {
+		return nil
+	}
+	err := s.writeFile(clockMarkName, s.unsavedMark)
+	if err == nil {
+		s.unsavedMark = nil
+	}
+	return err
+}
+
 // writeFile replaces a file of the folder atomically.
 func (s *StateDir) writeFile(name string, content []byte) error {
 	tmp := s.path(name) + tmpExt
--- a/internal/handover/processdir/processdir_test.go
+++ b/internal/handover/processdir/processdir_test.go
@@ -183,3 +183,37 @@
 		t.Errorf("%d own of %d files", own, all)
 	}
 }
+
+// Guards against deadlines that a step of the wall clock moves at every later start, since the clock
+// mark could not be written at the first one.
+func TestClockMarkIsWrittenLater(t *testing.T) {
+	dir := t.TempDir()
+	blocked := filepath.Join(dir, clockMarkName+tmpExt)
+	if err := os.Mkdir(blocked, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	first, err := Open(dir, discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if first.ClockMarkSaved() || first.SaveClockMark() == nil {
+			t.Fatal("written where nothing can be")
+		}
+		os.Mkdir(blocked, 0o700) // a failed write removes what it has left
+	}
+	if err := os.Remove(blocked); err != nil {
+		t.Fatal(err)
+	}
+	if err := first.SaveClockMark(); err != nil || !first.ClockMarkSaved() {
+		t.Fatal("not written: ", err)
+	}
+	next, err := Open(dir, discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if at := time.Now(); !next.ClockMarkSaved() || next.TimeScale().Date(at) != first.TimeScale().Date(at) {
+		t.Errorf("%d on the scale of the next process, %d on that of the first",
+			next.TimeScale().Date(at), first.TimeScale().Date(at))
+	}
+}
