--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,7 +239,7 @@
 			// Keeps the journal and the directory of a standby within the disk limit together.
 			if used := r.stateDir.UsedBytes(r.dir); !r.takingOver.Load() && used != r.othersBytes {
 				r.othersBytes = used
-				r.host.SetJournalShare(r.diskBytes(), used, true)
+				r.updateJournalShare()
 			}
 			r.announceDrain()
 		case result := <-r.pluginLoad:
@@ -312,6 +312,12 @@
 // small files.
 func (r *relay) diskBytes() int64 { return r.config.DiskBytes - config.SmallFileBytes }
 
+// updateJournalShare sets the journal's share of the disk limit after either has changed.
+func (r *relay) updateJournalShare() {
+	alone := r.server.Load() != nil && !r.takingOver.Load()
+	r.host.SetJournalShare(r.diskBytes(), r.stateDir.UsedBytes(r.dir), alone)
+}
+
 // standBy waits for the leader lock and reports whether this process holds it; false if it received
 // a stop signal.
 func (r *relay) standBy(ctx context.Context) (bool, error) {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -83,6 +83,7 @@
 func (r *relay) applyReload(ctx context.Context, result configReadResult) {
 	r.configRead = nil
 	r.config = applyConfig(r.config, result, r.host, r.server.Load(), r.log)
+	r.updateJournalShare()
 	if r.reloadAgain {
 		r.reloadAgain = false
 		r.reload()
@@ -123,7 +124,7 @@
 func hostConfig(c *config.Config) wire.HostConfig {
 	_, idle := descriptorLimits(c)
 	return wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout,
-		LoadReports: c.LoadReports, MaxIdleConns: idle, KnownEndpoints: c.KnownEndpoints, JournalBytes: c.DiskBytes}
+		LoadReports: c.LoadReports, MaxIdleConns: idle, KnownEndpoints: c.KnownEndpoints}
 }
 
 // applyConfig applies the result of a read and returns the configuration that is then in force. It
--- a/internal/wire/deployments_test.go
+++ b/internal/wire/deployments_test.go
@@ -275,7 +275,7 @@
 		}
 	}
 	other := loadDeployment(t, "postings")
-	if err := env.host.Reload(HostConfig{Settings: other, JournalBytes: 3e6, ConnectTimeout: time.Second,
+	if err := env.host.Reload(HostConfig{Settings: other, ConnectTimeout: time.Second,
 		MaxIdleConns: 8},
 		env.platform.Listener.Addr().String()); err != nil {
 		t.Fatal(err)
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -282,3 +282,20 @@
 		}
 	})
 }
+
+// Guards against a folder over its limit after SIGHUP: a reload gave the journal the whole limit, of
+// which other files and other processes take their part.
+func TestReloadKeepsJournalShare(t *testing.T) {
+	env := startEnv(t, answerOK)
+	env.host.SetJournalShare(2<<20, 1<<20, true)
+	settings := env.host.settings
+	if err := env.host.Reload(HostConfig{Settings: settings, ConnectTimeout: time.Second, MaxIdleConns: 8},
+		env.platform.Listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	env.host.Do(func(h *Host) {
+		if budget := h.journal.SpaceUse().Budget; budget != 1<<20 {
+			t.Errorf("the journal may use %d bytes, want %d", budget, 1<<20)
+		}
+	})
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -133,7 +133,6 @@
 	MaxIdleConns   int  // limit of idle connections to endpoints
 	LoadReports    bool // responses may hold load reports
 	KnownEndpoints memory.EndpointList
-	JournalBytes   int64 // limit of the journal; read by Reload
 	Table          *memory.Table
 	Journal        *journal.Journal
 	Plugins        *plugin.Holder // nil: no plug-ins
@@ -247,8 +246,8 @@
 }
 
 // Reload applies a validated configuration: settings and limits at once, then discovery's address.
-// Pending messages and calls in flight stay; the endpoint list stays until the new address has sent
-// its own.
+// Pending messages, calls in flight and the journal's share of the disk stay; the endpoint list stays
+// until the new address has sent its own.
 func (h *Host) Reload(config HostConfig, discovery string) (err error) {
 	h.Do(func(h *Host) {
 		config.Settings.ClockOffset = h.settings.ClockOffset
@@ -258,7 +257,6 @@
 		h.settings, h.loadReports, h.dialTimeout, h.maxIdleConns, h.reportedRelays = config.Settings,
 			config.LoadReports, config.ConnectTimeout, config.MaxIdleConns, 0
 		h.indexSettings(config.Settings)
-		h.journal.SetBudget(config.JournalBytes)
 		h.useDiscovery(discovery)
 		h.pendingEvents = append(h.pendingEvents, policy.TimerFired{})
 	})
