Save the operators' drain later where the folder can't be written

What callers would see: a relay that was drained, or taken back, while its folder refused writes came back from a crash in the state before that: it took messages though drained, or stayed drained though nobody wanted that any more.

Cause: the mark was written or removed once, and a failure was only logged.

Change: it is tried again until it succeeds, always with the state at that time.

Test: TestDrainIsSavedLater failed before (returned at once).

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -34,15 +35,14 @@
 }
 
 // saveDrain records in the state folder whether operators have drained the relay, so that a drain
-// survives a crash. It may wait for the disk, so it runs on a goroutine of its own. It records the
+// survives a crash. It waits for the disk, so it runs on a goroutine of its own. It records the
 // state at the time of the write, so concurrent calls may run in any order.
 func (r *relay) saveDrain() {
 	r.drainRecordMu.Lock()
 	defer r.drainRecordMu.Unlock()
 	server := r.server.Load()
-	if err := r.stateDir.SetDrained(server.Drained() && !r.stopping.Load()); err != nil {
-		r.log.Warn("drain state can't be saved; a crash would undo the last change", "err", err)
-	}
+	r.retryUntilDone(context.Background(), "drain state can't be saved; a crash would undo the last change",
+		func() error { return r.stateDir.SetDrained(server.Drained() && !r.stopping.Load()) })
 }
 
 // stopPlanned serves for drain.StopAcceptGrace, closes the listener, and waits for pending messages
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -7,7 +7,9 @@
 	"path/filepath"
 	"slices"
 	"testing"
+	"time"
 
+	"oatfold/internal/drain"
 	"oatfold/internal/memory"
 	"oatfold/internal/wire"
 )
@@ -130,3 +132,36 @@
 	}
 	h.gossip.Close()
 }
+
+// Guards against a relay that starts drained, or not drained, against the operators' last word, since
+// that could not be written at one moment.
+func TestDrainIsSavedLater(t *testing.T) {
+	dir := t.TempDir()
+	h := startSuccessor(t, dir)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	server := wire.NewServer(ln, &h.config.Settings, 1, h.host.Events(), h.log)
+	server.HandleDrainEvent(drain.HealthFail)
+	h.server.Store(server)
+	mark := filepath.Join(dir, "drained")
+	if err := os.Mkdir(mark, 0o700); err != nil { // the mark can't be written
+		t.Fatal(err)
+	}
+	saved := make(chan struct{})
+	go func() { h.saveDrain(); close(saved) }()
+	select {
+	case <-saved:
+		t.Fatal("saved where nothing can be written")
+	case <-time.After(3 * retryInterval):
+	}
+	if err := os.Remove(mark); err != nil {
+		t.Fatal(err)
+	}
+	<-saved
+	if info, err := os.Stat(mark); err != nil || !info.Mode().IsRegular() {
+		t.Error("not saved: ", err)
+	}
+}
