--- a/internal/memory/journal/liveness_test.go
+++ b/internal/memory/journal/liveness_test.go
@@ -44,8 +44,11 @@
 					disk.InjectFault(disk.OperationCount()+1+random.IntN(40), []faultfs.Fault{faultfs.Error, faultfs.Short}[random.IntN(2)])
 				}
 			case 1:
-				last := r.next
-				r = open(disk.Restart())
+				last, next := r.next, disk.Restart()
+				for range random.IntN(2) * random.IntN(12) { // the disk fails while the journal opens, and for some time after
+					next.InjectFault(1+random.IntN(12), []faultfs.Fault{faultfs.Error, faultfs.Short}[random.IntN(2)])
+				}
+				r = open(next)
 				r.next = last
 				clear(pending)
 				for number, m := range r.table.All() {
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -1,7 +1,9 @@
 package journal
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -95,7 +97,7 @@
 		j.createReserve()
 		return nil
 	}
-	if !transient.Is(err) {
+	if !transient.Is(err) && !errors.Is(err, io.ErrShortWrite) {
 		return err
 	}
 	j.config.Log.Error("journal write failed; rejecting new messages", "err", err)
