--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -216,10 +216,8 @@
 	j.compact()
 	// On a full disk a compaction may need the space of the reserve for its copy. It gets that every
 	// other time only: it may fail again and again.
-	if j.reserveDeferred = j.unavailable && j.compacting && !j.reserveDeferred; !j.reserveDeferred {
-		j.createReserve()
-	}
-	if j.unavailable && j.activeFile != nil && !j.reserveDeferred && j.reserveSize >= plan.ReserveFileSize(j.config.Budget) {
+	j.reserveDeferred = j.unavailable && j.compacting && !j.reserveDeferred
+	if !j.reserveDeferred && j.createReserve() && j.unavailable && j.activeFile != nil {
 		j.markWritable()
 		j.config.Log.Info("journal can be written again; accepting new messages")
 	}
--- a/internal/memory/journal/open_test.go
+++ b/internal/memory/journal/open_test.go
@@ -97,3 +97,27 @@
 		t.Errorf("opened, or failed otherwise: %v", err)
 	}
 }
+
+// Guards against a journal that refuses everything for good, with nothing pending, since its reserve
+// file is smaller than a raised budget wants, and could not be removed when a write failed.
+func TestWritableAgainAfterRaisedBudget(t *testing.T) {
+	disk := &unwritableDisk{FS: faultfs.New()}
+	r := newReclaimer(t, journal.Config{FS: disk, Budget: 300e3, CompactInline: true})
+	r.run(t, 3, 1000, 16)
+	r.journal.SetBudget(3e6)
+	disk.refusal = syscall.EIO
+	for n := range 4 {
+		disk.InjectFault(disk.OperationCount()+1+n, faultfs.Error)
+	}
+	m := r.newMessage(1000, 17)
+	if err := r.journal.AppendAccepted(r.table, m, true); err != nil {
+		t.Fatal(err)
+	}
+	if err, _ := r.journal.Commit(); !errors.Is(err, journal.ErrUnavailable) {
+		t.Fatalf("the write did not fail: %v", err)
+	}
+	r.table.Remove(m)
+	disk.refusal = nil
+	disk.ClearFaults()
+	r.run(t, 3, 64<<10, 16)
+}
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -86,22 +86,26 @@
 }
 
 // createReserve creates the reserve file, whose space is released when the disk is full so that
-// completions can still be written, or makes it smaller after the budget was lowered. If that fails,
-// Maintain tries again.
-func (j *Journal) createReserve() {
+// completions can still be written, or makes it smaller after the budget was lowered. After a failed
+// write it is written anew in any case, which shows whether the disk takes writes again. It reports
+// whether the reserve is there; if not, Maintain tries again.
+func (j *Journal) createReserve() bool {
 	size := plan.ReserveFileSize(j.config.Budget)
-	if j.reserveSize > 0 && j.reserveSize <= size || size == j.reserveSize {
-		return
+	if !j.unavailable && (j.reserveSize == size || j.reserveSize > 0 && j.reserveSize < size) {
+		return true
 	}
 	if size == 0 {
-		if j.config.FS.Remove(reserveName) == nil {
-			j.reserveSize = 0
+		if j.reserveSize > 0 && j.config.FS.Remove(reserveName) != nil {
+			return false
 		}
-		return
+		j.reserveSize = 0
+		return true
 	}
-	if err := writeFileAtomic(j.config.FS, reserveName, make([]byte, size), noPause); err == nil {
-		j.reserveSize = size
+	if writeFileAtomic(j.config.FS, reserveName, make([]byte, size), noPause) != nil {
+		return false
 	}
+	j.reserveSize = size
+	return true
 }
 
 // usedBytes returns the space that all files use on disk.
