Close idle connections above a lowered limit at once

What callers would see: after a reload with lower limits.sockets a relay kept more idle connections to endpoints than it may have, until calls ended or the connections timed out; each call that ended gave back one.

Cause: a limit was applied only where a connection becomes idle.

Change: setting the limit, by a reload or in an upgrade, closes what is above it, the ones unused for longest first.

Test: TestLowerLimitClosesIdleConns failed before (5 and 7 idle connections where 2 are allowed).

--- a/internal/wire/endpoints.go
+++ b/internal/wire/endpoints.go
@@ -163,7 +163,7 @@
 
 // limitIdleConns bounds the descriptors of idle connections.
 func (h *Host) limitIdleConns() {
-	if h.idleConns.Len() > h.maxIdleConns {
+	for h.idleConns.Len() > h.maxIdleConns {
 		h.closeOldestIdleConn()
 	}
 }
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -357,5 +357,10 @@
 	})
 }
 
-// SetMaxIdleConns limits the idle connections to endpoints.
-func (h *Host) SetMaxIdleConns(limit int) { h.Do(func(h *Host) { h.maxIdleConns = limit }) }
+// SetMaxIdleConns limits the idle connections to endpoints, and closes those above the limit.
+func (h *Host) SetMaxIdleConns(limit int) {
+	h.Do(func(h *Host) {
+		h.maxIdleConns = limit
+		h.limitIdleConns()
+	})
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -257,6 +257,7 @@
 		h.settings, h.loadReports, h.dialTimeout, h.maxIdleConns, h.reportedRelays = config.Settings,
 			config.LoadReports, config.ConnectTimeout, config.MaxIdleConns, 0
 		h.indexSettings(config.Settings)
+		h.limitIdleConns()
 		h.useDiscovery(discovery)
 		h.pendingEvents = append(h.pendingEvents, policy.TimerFired{})
 	})
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -393,6 +393,37 @@
 	}
 }
 
+// Guards against descriptors above a lowered limit, which came back one for each further call only:
+// idle connections above it are closed at once.
+func TestLowerLimitClosesIdleConns(t *testing.T) {
+	env := startEnv(t, answerOK)
+	fill := func(h *Host) {
+		ep := h.endpoints["s-1"]
+		for range 5 {
+			h.handleCallResult(callResult{conn: &endpointConn{endpoint: ep, calls: make(chan *call, 1)},
+				call: &call{endpoint: ep}, reusable: true})
+		}
+	}
+	for name, lower := range map[string]func(){
+		"limit": func() { env.host.SetMaxIdleConns(2) },
+		"reload": func() {
+			if err := env.host.Reload(HostConfig{Settings: env.host.settings, ConnectTimeout: time.Second, MaxIdleConns: 2},
+				env.platform.Listener.Addr().String()); err != nil {
+				t.Error(err)
+			}
+		},
+	} {
+		env.host.SetMaxIdleConns(8)
+		env.host.Do(fill)
+		lower()
+		env.host.Do(func(h *Host) {
+			if n := len(h.endpoints["s-1"].idle); n != 2 || h.idleConns.Len() != 2 {
+				t.Errorf("%s: %d idle connections, %d in the list, want 2", name, n, h.idleConns.Len())
+			}
+		})
+	}
+}
+
 // A retry is not written after the partner's deduplication window, however long its dial took. It
 // ends as unsent, and the rest of its batch is sent.
 func TestRetryOutsideDeduplicationWindow(t *testing.T) {
