--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,23 +15,13 @@
 
 	"oatfold/internal/admin"
 	"oatfold/internal/daemon/config"
-	"oatfold/internal/daemon/config/operator"
 	"oatfold/internal/drain"
-	"oatfold/internal/handover"
 	"oatfold/internal/handover/processdir"
-	"oatfold/internal/memory"
-	"oatfold/internal/memory/journal"
 	"oatfold/internal/metrics"
 	"oatfold/internal/plugin"
-	"oatfold/internal/sites"
-	"oatfold/internal/transient"
 	"oatfold/internal/wire"
 )
 
-// bodyMemoryDivisor is what the memory limit is divided by to get the bytes that bodies of pending
-// messages may take. Further bodies are kept in the journal only.
-const bodyMemoryDivisor = 8
-
 // ownDescriptors is the number of descriptors for the process itself: standard streams, journal,
 // poll, listener, discovery.
 const ownDescriptors = 24
@@ -101,106 +90,42 @@
 	signal.Notify(r.hangup, syscall.SIGHUP)
 	traces := make(chan os.Signal, 1)
 	signal.Notify(traces, syscall.SIGUSR1) // without a handler the signal would end the process
-	var c *config.Config
-	err := r.retryStart("configuration can't be read", func() (err error) {
-		c, err = sources.LoadPlatform()
-		return err
-	})
-	if err != nil {
+	if err := r.loadConfig(); err != nil {
 		return r.startFailed(err)
 	}
-	r.config, r.zoneNames = c, c.ZoneNames
-	debug.SetMemoryLimit(memoryTarget(c))
 	// Admin requests are answered while the journal is being read, too.
-	if c.AdminAddr != "" {
-		var ln net.Listener
-		err := r.retryStart("admin address can't be opened", func() (err error) {
-			ln, err = net.Listen("tcp", c.AdminAddr)
-			return err
-		})
-		if err != nil {
-			return r.startFailed(fmt.Errorf("admin (ROUTER_ADMIN): %w", err))
-		}
-		defer admin.Serve(ln, r.adminCalls()).Close()
+	closeAdmin, err := r.openAdmin()
+	if err != nil {
+		return r.startFailed(err)
 	}
-	bodyBytes := c.MemoryBytes / bodyMemoryDivisor
-	var plan *sites.Plan
-	if sources.LoadOperator != nil {
-		var operatorConfig *operator.Config
-		err := r.retryStart("operator's file can't be read", func() (err error) {
-			operatorConfig, err = sources.LoadOperator(c)
-			return err
-		})
-		if err != nil {
-			return r.startFailed(fmt.Errorf("operator's file: %w", err))
-		}
-		if operatorConfig.BodyMemoryBytes > 0 {
-			bodyBytes = operatorConfig.BodyMemoryBytes
-		}
-		plan = operatorConfig.Sites
+	defer closeAdmin()
+	options, err := r.loadOperator()
+	if err != nil {
+		return r.startFailed(err)
 	}
 	active, err := r.openStateDir()
 	if err != nil {
 		return r.startFailed(err)
 	}
-	budget := r.diskBytes() - r.stateDir.UsedBytes(r.dir)
-	if !active {
-		budget = handover.JournalBudget(r.diskBytes(), 0, r.stateDir.UsedBytes(r.dir))
-	}
-	var messageJournal *journal.Journal
-	var table *memory.Table
-	err = r.retryStart("journal can't be opened", func() (err error) {
-		messageJournal, table, err = journal.Open(journal.Config{FS: journal.Dir(r.dir.Path), Budget: budget,
-			MaxBodyBytes: bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: log})
-		return err
-	})
+	messages, err := r.openJournal(active, options.bodyBytes)
 	if err != nil {
-		return r.startFailed(fmt.Errorf("ROUTER_STATE: %w", err))
+		return r.startFailed(err)
 	}
-	defer messageJournal.Close()
+	defer messages.journal.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for load := sources.loadPlugins(ctx, c, log); load != nil; {
-		select {
-		case result := <-load:
-			load = nil
-			if result.set == nil && result.err != nil {
-				return fmt.Errorf("operator's file: %w", result.err)
-			}
-			if result.err != nil {
-				// The relay serves anyway: messages that need a missing plug-in follow its failure
-				// rule.
-				log.Error("plug-ins not loaded", "err", result.err)
-			}
-			r.plugins.Replace(result.set)
-		case <-r.terminate: // a reload waits until the start is complete
-			return nil
-		}
-	}
-	hostSettings := hostConfig(c)
-	hostSettings.ZoneNames, hostSettings.HomeZone, hostSettings.Sites = c.ZoneNames, r.home(), plan
-	hostSettings.Plugins, hostSettings.Metrics = r.plugins, r.metrics
-	hostSettings.Table, hostSettings.Journal, hostSettings.Log = table, messageJournal, log
-	hostSettings.DateScale = r.stateDir.TimeScale()
-	hostSettings.Standby = !active || r.leftByOthers()
-	if active {
-		if r.listenGossip(); r.gossip != nil {
-			hostSettings.GossipSocket, hostSettings.Identity = r.gossip, fleetIdentity(c)
-		}
+	if loaded, err := r.loadPlugins(ctx); !loaded {
+		return err
 	}
-	if r.host, err = wire.NewHost(hostSettings); err != nil {
+	hostSettings := r.startHostConfig(active, options, messages)
+	stopHost, err := r.startHost(hostSettings)
+	if err != nil {
 		return err
 	}
-	r.runningHost.Store(r.host)
-	r.host.StartPlatformClient(c.DiscoveryAddr)
-	stop := make(chan struct{})
-	done := make(chan struct{})
-	go func() { r.host.Run(stop); close(done) }()
-	stopHost := func() { close(stop); <-done }
 	if !active {
 		if leads, err := r.standBy(ctx); !leads {
 			stopHost()
-			messageJournal.Close()
+			messages.journal.Close()
 			r.stateDir.Release(r.dir, true)
 			return err
 		}
@@ -214,23 +139,41 @@
 			r.gossip.Close()
 		}
 	}()
-	go func() {
-		for range traces {
-			if err := r.server.Load().Trace(os.Stderr); err != nil {
-				log.Error("trace not written", "err", err)
-			}
+	go r.writeTraces(traces)
+	r.runUntilTerminated(ctx)
+	r.cancelPluginLoad()
+	stopTakeOver()
+	if !r.handOver() {
+		r.stopping.Store(true)
+		go r.saveDrain() // the next start is not drained
+		stopPlanned(r.host, r.server.Load(), log)
+	}
+	stopHost()
+	return nil
+}
+
+// writeTraces writes the server's latest events to standard error at each signal.
+func (r *relay) writeTraces(signals <-chan os.Signal) {
+	for range signals {
+		if err := r.server.Load().Trace(os.Stderr); err != nil {
+			r.log.Error("trace not written", "err", err)
 		}
-	}()
+	}
+}
+
+// runUntilTerminated reloads the configuration on request and keeps to the disk limit, until this
+// process is told to stop.
+func (r *relay) runUntilTerminated(ctx context.Context) {
 	var standbyCheck <-chan time.Time // nil without operators, since then nobody starts a standby
-	if c.AdminAddr != "" {
+	if r.config.AdminAddr != "" {
 		ticker := time.NewTicker(standbyCheckInterval)
 		defer ticker.Stop()
 		standbyCheck = ticker.C
 	}
-	for running := true; running; {
+	for {
 		select {
 		case <-r.terminate:
-			running = false
+			return
 		case <-r.hangup:
 			r.reload()
 		case result := <-r.configRead:
@@ -247,65 +190,6 @@
 			r.applyPlugins(result)
 		}
 	}
-	r.cancelPluginLoad()
-	stopTakeOver()
-	if !r.handOver() {
-		r.stopping.Store(true)
-		go r.saveDrain() // the next start is not drained
-		stopPlanned(r.host, r.server.Load(), log)
-	}
-	stopHost()
-	return nil
-}
-
-// openStateDir opens the state folder and locks a process directory. It reports whether this
-// process holds the leader lock; otherwise it is a standby.
-func (r *relay) openStateDir() (active bool, err error) {
-	// A process of an earlier version holds no leader lock but has the address: its journal must
-	// not be opened.
-	if err := r.retryStart("address can't be checked", func() error {
-		return wire.CheckAddress(r.config.ListenAddr)
-	}); err != nil {
-		return false, fmt.Errorf("listen: %w", err)
-	}
-	for _, step := range []func() error{
-		func() (err error) { r.stateDir, err = processdir.Open(r.config.StateDir, r.log); return err },
-		func() (err error) { active, err = r.stateDir.TryLeaderLock(); return err },
-		func() (err error) { r.dir, err = r.stateDir.OpenOwn(active); return err },
-		func() error {
-			if !active {
-				return nil
-			}
-			return r.stateDir.SetCurrent(r.dir)
-		},
-	} {
-		if err := r.retryStart("state folder can't be opened", step); err != nil {
-			return false, fmt.Errorf("ROUTER_STATE: %w", err)
-		}
-	}
-	return active, nil
-}
-
-// startFailed returns the error that ends a start: none if the process was told to stop meanwhile
-// and the error is transient.
-func (r *relay) startFailed(err error) error {
-	if len(r.terminate) > 0 && transient.Is(err) {
-		r.log.Info("told to stop before the start was complete", "err", err)
-		return nil
-	}
-	return err
-}
-
-// leftByOthers reports whether other processes left anything to take over.
-func (r *relay) leftByOthers() bool {
-	if len(r.stateDir.Transfers()) > 0 {
-		return true
-	}
-	running, abandoned, err := r.stateDir.Others(r.dir)
-	for _, dir := range abandoned {
-		r.stateDir.Release(dir, false)
-	}
-	return err != nil || len(running)+len(abandoned) > 0
 }
 
 // diskBytes returns what the journals of all processes may take: the disk limit less the folder's
