--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -325,12 +325,12 @@
 	}
 }
 
-// The two processes of an upgrade are one member, which nobody sees as dead; a drained relay has
-// left, and is alive again when it serves again; a stopped relay has left; a killed one is away.
-func TestThreeProcesses(t *testing.T) {
-	t.Parallel()
+// startFleetWithStandby starts three relays that know one another, and a process that stands by for
+// relay 1.
+func startFleetWithStandby(t *testing.T) (r *run, next *testdouble.Relay) {
+	t.Helper()
 	_, _, relays, _ := startRelays(t, 3, 3)
-	r := run{relays: relays}
+	r = &run{relays: relays}
 	if err := r.waitUntil(context.Background(), "all relays to know one another", r.membersAgree); err != nil {
 		t.Fatalf("%v: %s", err, r.memberDisagreement())
 	}
@@ -339,6 +339,15 @@
 		t.Fatal(err)
 	}
 	awaitLog(t, next, "standing by")
+	return r, next
+}
+
+// The two processes of an upgrade are one member, which nobody sees as dead; a drained relay has
+// left, and is alive again when it serves again; a stopped relay has left; a killed one is away.
+func TestThreeProcesses(t *testing.T) {
+	t.Parallel()
+	r, next := startFleetWithStandby(t)
+	relays := r.relays
 	if err := relays[1].Stop(); err != nil {
 		t.Fatal(err)
 	}
@@ -509,16 +518,8 @@
 // from a process that was killed opened no gossip socket.
 func TestStandbyOfKilledRelayJoins(t *testing.T) {
 	t.Parallel()
-	_, _, relays, _ := startRelays(t, 3, 3)
-	r := run{relays: relays}
-	if err := r.waitUntil(context.Background(), "all relays to know one another", r.membersAgree); err != nil {
-		t.Fatalf("%v: %s", err, r.memberDisagreement())
-	}
-	next, err := relays[1].StartNextProcess()
-	if err != nil {
-		t.Fatal(err)
-	}
-	awaitLog(t, next, "standing by")
+	r, next := startFleetWithStandby(t)
+	relays := r.relays
 	relays[1].Kill()
 	awaitLog(t, next, "msg=ready")
 	relays[1] = next
