Read the endpoint list of the largest deployment, also where it comes indented

What callers would see: with 3,200 endpoints and indented lists a relay knew the endpoints of its configuration only. Every request for the list failed alike, for good.

Change: 4 MiB; memory still grows with what comes, not with the stated length.

Test: TestLargestListIsRead, 1,105,398 bytes, failed before (nothing read within 10 s).

--- a/internal/wire/agent_conn.go
+++ b/internal/wire/agent_conn.go
@@ -48,7 +48,7 @@
 	}
 	a, err := readResponseHead(c.reader)
 	if err == nil {
-		err = a.readRemaining(c.reader, maxResponseBody)
+		err = a.readRemaining(c.reader, maxListBody)
 	}
 	if err != nil {
 		c.close()
--- a/internal/wire/endpoint_conn_test.go
+++ b/internal/wire/endpoint_conn_test.go
@@ -137,7 +137,7 @@
 					return
 				}
 				length, chunked, _ := h.framing()
-				body, _ := readBody(r, length, chunked, maxResponseBody)
+				body, _ := readBody(r, length, chunked, maxListBody)
 				s := <-scripts
 				seen <- h
 				bodies <- body
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -14,7 +14,7 @@
 // Limits on what a peer may send, in bytes unless noted.
 const (
 	maxBody             = 64 << 10 // of a message
-	maxResponseBody     = 1 << 20  // of an endpoint list or a batch's response
+	maxListBody         = 4 << 20  // of an answer of discovery; 3,200 indented endpoints take over 1 MiB
 	readBufferSize      = 8 << 10  // also the longest line of a header
 	maxHeaderBytes      = 32 << 10
 	maxFields           = 100 // header lines
--- a/internal/wire/list_watch_test.go
+++ b/internal/wire/list_watch_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -171,3 +172,51 @@
 		}
 	}
 }
+
+// Guards against a relay that never gets its list: that of the largest deployment, indented, was longer
+// than an answer may be, and each further request failed alike.
+func TestLargestListIsRead(t *testing.T) {
+	const endpoints = 3200
+	var body strings.Builder
+	body.WriteString("{\n    \"generation\": 7,\n    \"reset\": true,\n    \"instances\": [")
+	for n := range endpoints {
+		if n > 0 {
+			body.WriteString(",")
+		}
+		fmt.Fprintf(&body, `
+        {
+            "instanceId": "s-%08x",
+            "hostPort": "127.250.100.%d:65535",
+            "zone": "zone-of-some-length-%d",
+            "machineType": "small-partner",
+            "cell": %d,
+            "lifecycle": "in_service",
+            "weight": 12.345678901234567,
+            "startedAtMs": 1796000000000
+        }`, n, n%250, n%3, n%900)
+	}
+	body.WriteString("\n    ]\n}\n")
+	discovery := startHTTPServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("from") {
+			<-r.Context().Done() // nothing changes
+			return
+		}
+		io.WriteString(w, body.String())
+	}))
+	defer discovery.CloseClientConnections()
+	ctx, cancel := context.WithCancel(context.Background())
+	events, ended := make(chan any, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		watchEndpointList(ctx, listWatcher{addr: discovery.Listener.Addr().String(), generation: -1}, events, discardLog)
+	}()
+	defer func() { cancel(); <-ended }()
+	select {
+	case event := <-events:
+		if got := len(event.(endpointListUpdate).Entries); got != endpoints {
+			t.Errorf("%d of %d endpoints", got, endpoints)
+		}
+	case <-time.After(10 * time.Second):
+		t.Errorf("a list of %d bytes was not read", body.Len())
+	}
+}
--- a/internal/wire/truncated_answer_test.go
+++ b/internal/wire/truncated_answer_test.go
@@ -54,7 +54,7 @@
 					return
 				}
 				length, _, _ := h.framing()
-				readBody(r, length, false, maxResponseBody)
+				readBody(r, length, false, maxListBody)
 				io.WriteString(sock, a.write[:n])
 			}()
 			ep := &endpoint{addr: ln.Addr().String(), backoff: &backoff{}}
