Retry the operator's file and its plug-ins where reading them fails for a moment

What callers would see: a start refused, or a reload dropped, since there was no descriptor when the operator's file was read the second time; a plug-in whose module could not be read then stayed off until somebody reloaded.

Cause: the file is read for its limits with retries, and again for its plug-ins without.

Change: passing errors are retried for 10 s there as well; a wrong file still fails at once.

Test: TestPluginLoadRetriesPassingErrors failed before (EMFILE after one read).

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -40,17 +40,32 @@
 		return done
 	}
 	go func() {
-		operatorConfig, err := s.LoadOperator(c)
-		if err != nil {
-			done <- pluginLoadResult{err: err}
-			return
-		}
-		set, err := plugin.LoadSet(ctx, operatorConfig.Plugins, log)
-		done <- pluginLoadResult{set, operatorConfig.Sites, err}
+		var result pluginLoadResult
+		result.err = retryTransient("operator's file or its plug-ins can't be read", reloadRetryLimit, func() bool {
+			return ctx.Err() != nil
+		}, log, func() (err error) {
+			result.set.Release() // what an attempt that failed has loaded
+			result, err = s.loadOperatorOnce(ctx, c, log)
+			return err
+		})
+		done <- result
 	}()
 	return done
 }
 
+// loadOperatorOnce loads the operator's file and its plug-ins. With an error of a plug-in it returns
+// the others, too.
+func (s ConfigSources) loadOperatorOnce(ctx context.Context, c *config.Config, log *slog.Logger) (
+	pluginLoadResult, error,
+) {
+	operatorConfig, err := s.LoadOperator(c)
+	if err != nil {
+		return pluginLoadResult{}, err
+	}
+	set, err := plugin.LoadSet(ctx, operatorConfig.Plugins, log)
+	return pluginLoadResult{set: set, sites: operatorConfig.Sites}, err
+}
+
 // configReadResult is the result of reading the platform's configuration.
 type configReadResult struct {
 	config *config.Config
