Reserve for all records that may follow a message, from when it is accepted

What callers would see: a folder full of small messages could grow to more than twice limits.disk_mb by their attempts and notices; a platform that measures then counts the relay as crashed. It needs thousands of pending messages.

Cause: 192 bytes were reserved for each message, which some four attempts use up; messages of one write were not counted for one another; and the whole reserve was bounded by half of the limit.

Change: from its acceptance each message reserves 40 bytes for each attempt that the settings allow, 56 for its end, and its id; only the reserve for a copy is bounded by half.

--- a/internal/daemon/config/config.go
+++ b/internal/daemon/config/config.go
@@ -57,8 +57,8 @@
 const SmallFileBytes = 2560
 
 // MinDiskBytes returns the smallest disk limit, in bytes, with which a relay accepts messages of every
-// size again whenever all others have ended.
-func MinDiskBytes() int64 { return SmallFileBytes + plan.MinBudget() }
+// size again whenever all others have ended. maxAttempts is the limit of attempts for a message.
+func MinDiskBytes(maxAttempts int) int64 { return SmallFileBytes + plan.MinBudget(maxAttempts) }
 
 // Load reads the configuration file that the environment names. The file takes precedence over
 // environment variables: it can be replaced while the relay runs, and must mean the same at a
@@ -154,10 +154,6 @@
 	}
 	c.MemoryBytes, c.MaxDescriptors = int64(numbers[0]*megabyte), int(numbers[1])
 	c.DiskBytes, c.ConnectTimeout = int64(numbers[2]*megabyte), time.Duration(numbers[3])*time.Microsecond
-	if least := MinDiskBytes(); c.DiskBytes < least {
-		return nil, fmt.Errorf("limits.disk_mb: %g is under %g: too small for a message of the largest size beside the ids"+
-			" of completed ones", numbers[2], float64(least)/megabyte)
-	}
 	if !doc.Get("settings").Exists() {
 		return nil, fmt.Errorf("settings: missing")
 	}
@@ -165,6 +161,10 @@
 	if c.Settings, columns, err = ParseSettings(doc.Get("settings").Raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if least := MinDiskBytes(c.Settings.MaxAttempts); c.DiskBytes < least {
+		return nil, fmt.Errorf("limits.disk_mb: %g is under %g: too small for a message of the largest size beside the ids"+
+			" of completed ones", numbers[2], float64(least)/megabyte)
+	}
 	c.LoadReports = len(columns) > 0
 	if err := c.parsePeers(doc, text("ROUTER_MEMBERS", "members")); err != nil {
 		return nil, err
--- a/internal/daemon/config/config_test.go
+++ b/internal/daemon/config/config_test.go
@@ -58,11 +58,11 @@
 
 // The smallest disk limit that is accepted has space for a message of the largest size.
 func TestSmallestDiskLimit(t *testing.T) {
-	for _, bytes := range []int64{MinDiskBytes() - 1, MinDiskBytes()} {
+	for _, bytes := range []int64{MinDiskBytes(6) - 1, MinDiskBytes(6)} {
 		_, err := load(t, func(s string) string {
 			return strings.Replace(s, "\"disk_mb\": 3", fmt.Sprintf("\"disk_mb\": %.6f", float64(bytes)/megabyte), 1)
 		}, nil)
-		if accepted := err == nil; accepted != (bytes >= MinDiskBytes()) {
+		if accepted := err == nil; accepted != (bytes >= MinDiskBytes(6)) {
 			t.Errorf("%d bytes: %v", bytes, err)
 		}
 	}
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -53,7 +53,8 @@
 	writeRefused        bool       // a write to the active segment failed: the next goes to a new one
 	segmentBytes        int64      // bytes on disk of all segments, in whole blocks
 	locations           map[uint32]locations
-	batch               []entry // records not written yet
+	reserves            reserves // for the remaining records of pending messages
+	batch               []entry  // records not written yet
 	batchBytes          int64
 	arena               []byte // encoded records of batch
 	writeBuffer         []byte
@@ -105,6 +106,9 @@
 	j.remembered.SetLimit(plan.CompletionLimit(budget))
 }
 
+// SetMaxAttempts sets the limit of attempts for a message, whose records are reserved for.
+func (j *Journal) SetMaxAttempts(limit int) { j.reserves.maxAttempts = limit }
+
 // Stats returns the current statistics.
 func (j *Journal) Stats() Stats {
 	j.stats.Segments, j.stats.UsedBytes = len(j.segments), j.usedBytes()
@@ -128,11 +132,12 @@
 	recordSize := int64(frameHeaderSize + 40 + len(m.ID) + len(m.Class) + len(m.IdempotencyKey) + len(m.Body) +
 		len(m.PluginNotes) + len(m.Tenant) + len(m.OrderingKey))
 	used := j.usedBytes() + j.batchBytes + plan.CopyReserve(j.config.Budget, j.copyBytes)
+	reserved := j.reserves.bytes() + plan.MessageReserve(j.reserves.maxAttempts, len(m.ID))
 	kind := recordAccepted
 	journaledBytes, memoryOnlyBytes := table.BodyBytes()
 	switch plan.ChooseBodyStorage(journaledBytes, memoryOnlyBytes, j.config.MaxBodyBytes, int64(len(m.Body)),
-		plan.Fits(j.config.Budget, used, len(j.locations), recordSize),
-		plan.Fits(j.config.Budget, used, len(j.locations), recordSize-int64(len(m.Body))), repeatable) {
+		plan.Fits(j.config.Budget, used, reserved, recordSize),
+		plan.Fits(j.config.Budget, used, reserved, recordSize-int64(len(m.Body))), repeatable) {
 	case plan.MemoryAndJournal, plan.JournalOnly:
 		j.refused = false
 	case plan.NotStored:
@@ -143,6 +148,7 @@
 		kind, m.MemoryOnly = recordAcceptedMemoryOnly, true
 	}
 	j.maxNumber = max(j.maxNumber, m.Number)
+	j.reserves.add(m)
 	j.beginRecord()
 	j.arena = appendTerms(appendMessage(append(j.arena, kind), m, j.config.TimeScale), m.Terms)
 	if j.endRecord(entry{number: m.Number, kind: entryAccepted, accepts: true}); len(m.PluginNotes) > 0 {
--- a/internal/memory/journal/liveness_test.go
+++ b/internal/memory/journal/liveness_test.go
@@ -19,7 +19,7 @@
 func TestSpaceIsReclaimedAfterAnything(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		budget := int64(rapid.IntRange(int(plan.MinBudget()), 3e6).Draw(t, "budget"))
+		budget := int64(rapid.IntRange(int(plan.MinBudget(6)), 3e6).Draw(t, "budget"))
 		maxBody := rapid.SampledFrom([]int{100, 5000, 40_000, 64 << 10}).Draw(t, "body")
 		idBytes := rapid.SampledFrom([]int{16, 60, 256}).Draw(t, "id")
 		disk := faultfs.New()
@@ -55,7 +55,7 @@
 					pending[number] = m
 				}
 			case 2:
-				budget = plan.MinBudget() + random.Int64N(3e6-plan.MinBudget())
+				budget = plan.MinBudget(6) + random.Int64N(3e6-plan.MinBudget(6))
 				r.journal.SetBudget(budget)
 			}
 		}
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -7,11 +7,18 @@
 	BlockSize         = 512      // files use whole blocks
 	MinSegmentSize    = 64 << 10 // smallest size at which a segment is sealed
 	MaxSegmentSize    = 1 << 20  // bounds the work of the event loop for one segment
-	CompletionReserve = 192      // for the remaining records of a pending message
 	MinDeadBytes      = 4 << 10  // dead bytes that make a partly live segment worth compacting
 	segmentsPerBudget = 24       // the budget divided by this is the size of a segment
+	attemptReserve    = 40       // for the records of an attempt, and that it did not run
+	endReserve        = 56       // for the records of a notification and a completion, without the id
+	maxIDBytes        = 256      // of a message
 )
 
+// MessageReserve bounds the bytes of the records that may follow the accepted one of a message.
+func MessageReserve(maxAttempts, idBytes int) int64 {
+	return int64(maxAttempts*attemptReserve + endReserve + idBytes)
+}
+
 // DiskSize returns the space that a file of n bytes uses on disk.
 func DiskSize(n int64) int64 { return (n + BlockSize - 1) / BlockSize * BlockSize }
 
@@ -34,17 +41,18 @@
 // DeadBytes returns the number of bytes that compaction would free.
 func (s Segment) DeadBytes() int64 { return s.Size - s.LiveBytes - s.RetainedBytes }
 
-// ReservedBytes returns the part of the budget that is kept free for the completion of live pending
-// messages and for the copy that compaction makes of a segment. It is at most half the budget, so
-// that a small one still accepts messages.
-func ReservedBytes(budget int64, live int) int64 {
-	return min(DiskSize(SegmentSize(budget))+int64(live)*CompletionReserve, budget/2)
+// ReservedBytes returns the part of the budget that is kept free for the remaining records of pending
+// messages, which take reserved bytes, and for the copy that compaction makes of a segment. The copy
+// gets at most half the budget, so that a small one still accepts messages.
+func ReservedBytes(budget, reserved int64) int64 {
+	return min(DiskSize(SegmentSize(budget)), budget/2) + reserved
 }
 
 // Fits reports whether a message with a record of that many bytes may be accepted. used is the
-// space that all files use, live the number of pending messages.
-func Fits(budget, used int64, live int, record int64) bool {
-	return used+DiskSize(record)+ReservedBytes(budget, live+1) <= budget
+// space that all files use, reserved that of the remaining records of all pending messages with
+// this one.
+func Fits(budget, used, reserved, record int64) bool {
+	return used+DiskSize(record)+ReservedBytes(budget, reserved) <= budget
 }
 
 // MaxMessageBytes bounds the records of one message of the largest size: a body of 64 KiB, id, key,
@@ -58,10 +66,11 @@
 }
 
 // MinBudget returns the smallest budget, in whole KiB, in which a message of MaxMessageBytes fits
-// whenever no other is pending, however many were completed before.
-func MinBudget() int64 {
+// whenever no other is pending, however many were completed before. maxAttempts is the limit of
+// attempts for a message.
+func MinBudget(maxAttempts int) int64 {
 	budget := int64(MaxMessageBytes)
-	for !Fits(budget, settledSize(budget), 0, MaxMessageBytes) {
+	for !Fits(budget, settledSize(budget), MessageReserve(maxAttempts, maxIDBytes), MaxMessageBytes) {
 		budget += 1 << 10
 	}
 	return budget
@@ -119,13 +128,13 @@
 // Space is what the choice of a compaction depends on beside the segments.
 type Space struct {
 	Budget, Used int64 // Used is the space that all files use
-	Pending      int   // number of pending messages
+	Reserved     int64 // for the remaining records of pending messages
 	Refused      bool  // the latest message was refused, or is in memory only, for lack of space
 }
 
 // short reports whether little space is left beside what is reserved.
 func (s Space) short() bool {
-	return s.Used+ReservedBytes(s.Budget, s.Pending)+2*SegmentSize(s.Budget) > s.Budget
+	return s.Used+ReservedBytes(s.Budget, s.Reserved)+2*SegmentSize(s.Budget) > s.Budget
 }
 
 // ChooseSegment returns the index of the segment to compact, or -1: the one with the most dead bytes
--- a/internal/memory/journal/plan/plan_test.go
+++ b/internal/memory/journal/plan/plan_test.go
@@ -31,12 +31,12 @@
 // any budget.
 func TestFits(t *testing.T) {
 	for _, budget := range []int64{100 << 10, 256 << 10, 3e6, 64 << 20} {
-		used, live := int64(0), 0
-		for Fits(budget, used, live, 2000) {
+		used, live, reserve := int64(0), int64(0), MessageReserve(6, 16)
+		for Fits(budget, used, (live+1)*reserve, 2000) {
 			used, live = used+DiskSize(2000), live+1
 		}
-		if used+ReservedBytes(budget, live) > budget || live == 0 ||
-			budget > 1<<20 && budget-used < SegmentSize(budget)+int64(live)*CompletionReserve {
+		if used+ReservedBytes(budget, live*reserve) > budget || live == 0 ||
+			budget-used < min(SegmentSize(budget), budget/2)+live*reserve {
 			t.Errorf("budget %d: %d live, %d used", budget, live, used)
 		}
 	}
@@ -69,7 +69,7 @@
 		{"half of the completions expired", 1e6, false, []Segment{expired, halfExpired}, 1},
 		{"some completions expired, messages are refused", 1e6, true, []Segment{retained, expired}, 1},
 	} {
-		if got := ChooseSegment(Space{Budget: budget, Used: c.used, Pending: 100, Refused: c.refused}, c.all); got != c.want {
+		if got := ChooseSegment(Space{Budget: budget, Used: c.used, Reserved: 100 * MessageReserve(6, 16), Refused: c.refused}, c.all); got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
 		}
 	}
--- a/internal/memory/journal/reclaim_test.go
+++ b/internal/memory/journal/reclaim_test.go
@@ -139,7 +139,7 @@
 	for _, c := range []struct {
 		budget   int64
 		messages int
-	}{{plan.MinBudget(), 3000}, {2e6, 3500}, {16e6, 1500}} {
+	}{{plan.MinBudget(6), 3000}, {2e6, 3500}, {16e6, 1500}} {
 		for _, size := range []int{0, 212, 10_000, 30_000, 45_000, 62_500, 64 << 10} {
 			for _, idBytes := range []int{16, 256} {
 				t.Run(fmt.Sprintf("%d bytes, bodies of %d, ids of %d", c.budget, size, idBytes), func(t *testing.T) {
@@ -317,6 +317,56 @@
 	r.run(t, 200, 64<<10, 16)
 }
 
+// Guards against a folder over its limit: a folder full of small messages reserved less for each than
+// its attempts and its end may take.
+func TestAttemptsStayWithinBudget(t *testing.T) {
+	const maxAttempts = 6
+	for _, c := range []struct {
+		budget, idBytes int
+	}{{300_000, 16}, {300_000, 256}, {3_000_000, 16}} {
+		t.Run(fmt.Sprintf("%d bytes, ids of %d", c.budget, c.idBytes), func(t *testing.T) {
+			t.Parallel()
+			disk := faultfs.New()
+			r := newReclaimer(t, journal.Config{FS: disk, Budget: int64(c.budget), CompactInline: true})
+			var pending []*memory.Message
+			for full := false; !full; {
+				for range 20 { // in one write
+					m := r.newMessage(20, c.idBytes)
+					if full = r.journal.AppendAccepted(r.table, m, true) != nil; full {
+						break
+					}
+					pending = append(pending, m)
+				}
+				if err, _ := r.journal.Commit(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for range maxAttempts {
+				for _, m := range pending {
+					r.journal.AppendAttempt(wall, []*memory.Message{m})
+					r.journal.AppendNotRun(m)
+					r.journal.Commit()
+				}
+				r.journal.Maintain()
+			}
+			for _, m := range pending {
+				r.table.MarkUndelivered(m, memory.Notification{Returned: true, RetryAfter: time.Hour})
+				r.journal.AppendUndelivered(m)
+				r.journal.Commit()
+			}
+			for _, m := range pending {
+				r.table.Remove(m)
+				r.journal.AppendCompleted(m, false)
+				r.journal.Commit()
+			}
+			if peak := disk.PeakBytes(); peak > int64(c.budget) || len(pending) < 100 {
+				t.Errorf("%d bytes on disk at most, %d messages", peak, len(pending))
+			}
+			r.run(t, 50, 64<<10, c.idBytes)
+		})
+	}
+}
+
 // Guards against a folder that fills since one old segment can't be read: the completions of all
 // later messages were retained, in case it holds their accepted records.
 func TestUnreadableSegmentDoesNotRetainCompletions(t *testing.T) {
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -22,7 +22,7 @@
 // by a later Commit or Maintain.
 func Open(config Config) (*Journal, *memory.Table, error) {
 	j := &Journal{
-		config: config, locations: map[uint32]locations{},
+		config: config, locations: map[uint32]locations{}, reserves: newReserves(),
 		remembered: plan.NewCompletionWindow(memory.MaxCompletedIDs, plan.CompletionLimit(config.Budget)),
 	}
 	names, err := config.FS.List()
@@ -179,6 +179,9 @@
 // indexLiveRecords finds the records of pending messages in all segments, and adds up the sizes of
 // the segments on disk.
 func (j *Journal) indexLiveRecords(table *memory.Table) {
+	for _, m := range table.All() {
+		j.reserves.add(m)
+	}
 	for _, seg := range j.segments {
 		for number, bytes := range seg.messageBytes {
 			if table.Get(number) == nil {
--- a/internal/memory/journal/segment.go
+++ b/internal/memory/journal/segment.go
@@ -105,6 +105,7 @@
 
 // removeRecords no longer counts the records of a message as those of a pending one.
 func (j *Journal) removeRecords(number uint32) {
+	j.reserves.remove(number)
 	known, ok := j.locations[number]
 	if !ok {
 		return
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -56,14 +56,14 @@
 // space returns what the choice of a compaction depends on.
 func (j *Journal) space() plan.Space {
 	return plan.Space{
-		Budget: j.config.Budget, Used: j.usedBytes(), Pending: len(j.locations), Refused: j.refused || j.unavailable,
+		Budget: j.config.Budget, Used: j.usedBytes(), Reserved: j.reserves.bytes(), Refused: j.refused || j.unavailable,
 	}
 }
 
 // makeSpace has compaction give back what it can after a failed write: the disk may have less space
 // than the budget. Fewer completions are remembered until writes succeed again.
 func (j *Journal) makeSpace() {
-	j.remembered.SetLimit(plan.CompletionLimit(max(j.usedBytes(), plan.MinBudget())))
+	j.remembered.SetLimit(plan.CompletionLimit(max(j.usedBytes(), plan.MinBudget(j.reserves.maxAttempts))))
 	j.compactionWanted = true
 }
 
--- a/internal/memory/journal/transfer.go
+++ b/internal/memory/journal/transfer.go
@@ -72,6 +72,7 @@
 // allows it.
 func (j *Journal) AppendTransferred(table *memory.Table, m *memory.Message) {
 	j.maxNumber = max(j.maxNumber, m.Number)
+	j.reserves.add(m)
 	j.beginRecord()
 	j.arena = appendSnapshot(append(j.arena, recordSnapshot), m, j.config.TimeScale)
 	if j.endRecord(entry{number: m.Number, accepts: true}); len(m.PluginNotes) > 0 {
--- a/internal/memory/journal/writer.go
+++ b/internal/memory/journal/writer.go
@@ -92,7 +92,11 @@
 func (j *Journal) dropEntries(kind entryKind) {
 	remaining, arena := j.batch[:0], j.arena[:0]
 	for _, e := range j.batch {
-		if e.kind != kind {
+		if e.kind == kind {
+			if e.accepts {
+				j.reserves.remove(e.number)
+			}
+		} else {
 			start := len(arena)
 			arena = append(arena, j.arena[e.start:e.end]...)
 			e.start, e.end = start, len(arena)
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -190,6 +190,7 @@
 	}
 	h.zoneNames, h.siteCommands = config.ZoneNames, make(chan SiteCommand, siteCommandQueueSize)
 	h.indexSettings(config.Settings)
+	h.journal.SetMaxAttempts(config.Settings.MaxAttempts)
 	h.gossiper = peers.New(0, 0, config.Seed)
 	if h.gossipSocket = config.GossipSocket; h.gossipSocket != nil {
 		h.joinFleet(config.Identity)
@@ -257,6 +258,7 @@
 		h.settings, h.loadReports, h.dialTimeout, h.maxIdleConns, h.reportedRelays = config.Settings,
 			config.LoadReports, config.ConnectTimeout, config.MaxIdleConns, 0
 		h.indexSettings(config.Settings)
+		h.journal.SetMaxAttempts(config.Settings.MaxAttempts)
 		h.limitIdleConns()
 		h.useDiscovery(discovery)
 		h.pendingEvents = append(h.pendingEvents, policy.TimerFired{})
