Remove a transfer that was adopted later, and test what else is adopted later

What callers would see: after a spool file that could be read only later was adopted, it stayed as an empty one of 512 bytes until the next start.

Cause: the files kept for a restart are removed as a takeover ends, and the later adoption came behind that.

Change: the later adoption removes them as well, once no process is leaving.

Tests: TestUnreadTransferIsAdoptedLater failed before (the file was still there); TestUnlistedDirIsAdoptedLater causes the other branch that had no test, and passed before.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -61,10 +61,7 @@
 		return leaving // not complete: later messages of an ordering key must not overtake what is left
 	}
 	if !leaving {
-		for _, name := range s.latestTransfer {
-			s.removeTransfer(name)
-		}
-		clear(s.latestTransfer)
+		s.removeLatestTransfers()
 		s.stateDir.RemovePartialTransfers()
 		s.waitCommitted(s.host.Adopt(wire.Transfer{LastProcess: true}))
 	} else if s.ctx.Err() == nil {
@@ -215,6 +212,14 @@
 	}
 }
 
+// removeLatestTransfers removes the files that were kept for a restart while a process was leaving.
+func (s *successor) removeLatestTransfers() {
+	for _, name := range s.latestTransfer {
+		s.removeTransfer(name)
+	}
+	clear(s.latestTransfer)
+}
+
 // removeTransfer removes a file of the spool. One that can't be removed now is not read again, and is
 // removed later.
 func (s *successor) removeTransfer(name string) {
--- a/internal/daemon/unfinished.go
+++ b/internal/daemon/unfinished.go
@@ -76,6 +76,9 @@
 		s.unadopted.unlisted = s.unadopted.unlisted || s.isLeaving(others.running)
 	}
 	s.adoptTransfers(false)
+	if !s.unadopted.unlisted {
+		s.removeLatestTransfers()
+	}
 	journals := s.openJournals(dirs)
 	s.adoptAll(journals)
 	for _, j := range journals {
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -9,8 +10,12 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
 	"oatfold/internal/drain"
+	"oatfold/internal/handover"
+	"oatfold/internal/handover/processdir"
 	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
 	"oatfold/internal/wire"
 )
 
@@ -165,3 +170,69 @@
 		t.Error("not saved: ", err)
 	}
 }
+
+// Guards against the messages of a process directory behind one that can't be listed at the takeover,
+// which got no end before the next start.
+func TestUnlistedDirIsAdoptedLater(t *testing.T) {
+	dir := t.TempDir()
+	blocked := filepath.Join(dir, "life-0", "lock") // listed first; a directory can't be locked
+	if err := os.MkdirAll(blocked, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(filepath.Join(dir, "life-1"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	source := t.TempDir()
+	journalState{successor: "-"}.write(t, source, "")
+	segments, _ := filepath.Glob(filepath.Join(source, "*.seg"))
+	if err := os.Rename(segments[0], filepath.Join(dir, "life-1", filepath.Base(segments[0]))); err != nil {
+		t.Fatal(err)
+	}
+	h := startSuccessor(t, dir)
+	h.takeOver()
+	h.adoptLater() // still not listed
+	if pending, _ := h.host.Load(); pending != 0 || !h.unadopted.remains() {
+		t.Fatalf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
+	}
+	if err := os.Remove(blocked); err != nil {
+		t.Fatal(err)
+	}
+	h.finish()
+	if pending, _ := h.host.Load(); pending != 1 || h.unadopted.remains() {
+		t.Errorf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
+	}
+}
+
+// Guards against the messages of a transfer that can't be read for longer than the takeover retries,
+// which got no end before the next start.
+func TestUnreadTransferIsAdoptedLater(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	old, err := processdir.Open(dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := old.WriteTransfer(journal.EncodeTransfer(
+		[]*memory.Message{newCharge(3, 0)}, (&handover.Update{}).Encode(), clock.Scale{})); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "spool", old.Transfers()[0])
+	if err := os.Rename(path, path+".away"); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink("/proc/self/mem", path); err != nil { // reading it fails with EIO
+		t.Fatal(err)
+	}
+	h := startSuccessor(t, dir)
+	h.takeOver()
+	if pending, _ := h.host.Load(); pending != 0 || !h.unadopted.remains() {
+		t.Fatalf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
+	}
+	if err := os.Rename(path+".away", path); err != nil {
+		t.Fatal(err)
+	}
+	h.finish()
+	if pending, _ := h.host.Load(); pending != 1 || h.unadopted.remains() || len(h.stateDir.Transfers()) > 0 {
+		t.Errorf("%d pending, to be adopted later: %t, transfers %v", pending, h.unadopted.remains(), h.stateDir.Transfers())
+	}
+}
