Read the configuration before the goroutine that joins the fleet begins

Cause: since each ordinary start reads the configuration on a goroutine beside the loop that a reload replaces it in, without a lock. Found by reading; no wrong result was seen.

Change: the start's configuration is passed on, of which a reload changes nothing that gossip uses. The takeover from a process that still leaves reads it as before. Gossip, standby and adoption tests pass under the race detector.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -306,8 +306,9 @@
 		r.takingOver.Store(true)
 		takeOvers.Go(successor.takeOverUntilLast)
 	} else {
+		c := r.config // a reload may replace it meanwhile
 		takeOvers.Go(func() {
-			successor.joinFleet()
+			successor.joinFleet(c)
 			successor.finish()
 		})
 	}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -20,32 +20,31 @@
 }
 
 // listenGossip opens the socket for gossip between relays, if there are others.
-func (r *relay) listenGossip() {
-	if len(r.config.PeerAddrs) == 0 {
+func (r *relay) listenGossip(c *config.Config) {
+	if len(c.PeerAddrs) == 0 {
 		return
 	}
 	var gossip *wire.GossipSocket
 	err := retryTransient("gossip address can't be opened", gossipRetryLimit, func() bool {
 		return len(r.terminate) > 0
 	}, r.log, func() (err error) {
-		gossip, err = wire.ListenGossip(r.config.PeerListenAddr, r.config.PeerAddrs, r.log)
+		gossip, err = wire.ListenGossip(c.PeerListenAddr, c.PeerAddrs, r.log)
 		return err
 	})
 	if err != nil {
-		r.log.Warn("no gossip between relays", "peer_listen", r.config.PeerListenAddr, "err", err)
+		r.log.Warn("no gossip between relays", "peer_listen", c.PeerListenAddr, "err", err)
 		return
 	}
 	r.gossip = gossip
 }
 
 // joinFleet starts the gossip of a host that runs without, now or as soon as its socket can be
-// opened.
-func (s *successor) joinFleet() {
-	c := s.config
+// opened. c is the configuration of the start: a reload changes none of it.
+func (s *successor) joinFleet(c *config.Config) {
 	if s.gossip != nil || len(c.PeerAddrs) == 0 {
 		return
 	}
-	if s.listenGossip(); s.gossip != nil {
+	if s.listenGossip(c); s.gossip != nil {
 		s.host.StartGossip(s.gossip, fleetIdentity(c))
 		return
 	}
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -105,7 +105,7 @@
 func (s *successor) takeOverUntilLast() {
 	_, idle := descriptorLimits(s.config)
 	s.host.SetMaxIdleConns(idle / 2)
-	s.joinFleet()
+	s.joinFleet(s.config)
 	for s.takeOver() {
 		select {
 		case <-s.ctx.Done():
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -164,7 +164,7 @@
 	settings.DateScale = r.stateDir.TimeScale()
 	settings.Standby = !active || r.leftByOthers()
 	if active {
-		if r.listenGossip(); r.gossip != nil {
+		if r.listenGossip(r.config); r.gossip != nil {
 			settings.GossipSocket, settings.Identity = r.gossip, fleetIdentity(r.config)
 		}
 	}
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -127,7 +127,7 @@
 	h := startSuccessor(t, t.TempDir())
 	h.config.PeerListenAddr = taken.LocalAddr().String()
 	h.config.PeerAddrs = []string{h.config.PeerListenAddr, "127.0.0.1:9"}
-	h.joinFleet()
+	h.joinFleet(h.config)
 	if h.gossip != nil || h.runSteps() {
 		t.Fatal("opened an address that is taken")
 	}
