--- /dev/null
+++ b/review/rig-2/main.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+var errNotReady = errors.New("a relay did not become ready")
+
+var cases = map[string]func(*Rig){
+	"upgrade-fleet":   upgradeFleet,
+	"burst-then-kill": burstThenKill,
+}
+
+// main runs a case: rig-2 NAME FOLDER. The record goes to FOLDER.
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig-2 NAME FOLDER; names:", sortedKeys(cases))
+		os.Exit(2)
+	}
+	folder, err := filepath.Abs(os.Args[2])
+	cannotRun(err)
+	r := NewRig(folder)
+	cases[os.Args[1]](r)
+	r.Finish()
+}
