--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -12,9 +12,11 @@
 
 var cases = map[string]func(*Rig){
 	"drain-in-upgrade": drainInUpgrade, "reload-in-upgrade": reloadInUpgrade,
+	"upgrade-rest-burst":  upgradeRestBurst,
 	"upgrade-full-folder": upgradeFullFolder,
 	"stress":              stress,
 	"upgrade-fleet":       upgradeFleet,
+	"burst-then-upgrade":  burstThenUpgrade,
 	"burst-then-kill":     burstThenKill,
 }
 
--- a/review/rig-2/memory_only.go
+++ b/review/rig-2/memory_only.go
@@ -9,7 +9,12 @@
 
 // burstThenKill hands in a burst of messages with long bodies, kills the relay and starts it again.
 // What it had taken on and not tried must outlive the process.
-func burstThenKill(r *Rig) {
+func burstThenKill(r *Rig) { burstThen(r, false) }
+
+// burstThenUpgrade is burstThenKill with an upgrade in place of the kill: nothing dies.
+func burstThenUpgrade(r *Rig) { burstThen(r, true) }
+
+func burstThen(r *Rig, upgrade bool) {
 	const dests = 8
 	var partners []*Partner
 	var list []Endpoint
@@ -39,12 +44,23 @@
 	}
 	wg.Wait()
 	if r.trouble {
-		r.Log("SIGKILL")
-		p.Signal(syscall.SIGKILL)
-		<-p.Exited
-		killed := time.Now()
-		time.Sleep(600 * time.Millisecond)
-		p = rel.Start()
+		var killed time.Time
+		if upgrade {
+			next := startUpgrade(rel)
+			termAt := time.Now()
+			r.Log("SIGTERM to %s", p.Name)
+			p.Signal(syscall.SIGTERM)
+			leave(r, p, termAt)
+			killed = time.Now()
+			p = next
+		} else {
+			r.Log("SIGKILL")
+			p.Signal(syscall.SIGKILL)
+			<-p.Exited
+			killed = time.Now()
+			time.Sleep(600 * time.Millisecond)
+			p = rel.Start()
+		}
 		if !rel.WaitReady(20 * time.Second) {
 			cannotRun(errNotReady)
 		}
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -134,9 +135,12 @@
 	portMu.Lock()
 	defer portMu.Unlock()
 	for {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		cannotRun(err)
-		addr := ln.Addr().String()
+		// Below the ports that the system gives to outgoing connections.
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
 		u, err := net.ListenPacket("udp", addr)
 		ln.Close()
 		if err != nil {
--- a/review/rig-2/stress.go
+++ b/review/rig-2/stress.go
@@ -513,6 +513,35 @@
 				return
 			}
 			excuse(at)
+		case 12: // both are told to end during a handover
+			s.event("both get SIGTERM")
+			next := rel.Start()
+			if !next.Healthy(6 * time.Second) {
+				r.Broken("%s did not say yes within 6 s\n | %s", next.Name, next.Tail(""))
+				return
+			}
+			p.Signal(syscall.SIGTERM)
+			termAt := time.Now()
+			time.Sleep(time.Duration(rnd.Intn(rnd.Intn(900)+1)) * time.Millisecond)
+			next.Signal(syscall.SIGTERM)
+			for i, q := range []*Proc{p, next} {
+				killed := false
+				select {
+				case <-q.Exited:
+				case <-time.After(time.Until(termAt.Add(time.Duration(3700+900*i) * time.Millisecond))):
+					killed = true
+					q.Signal(syscall.SIGKILL)
+					<-q.Exited
+				}
+				endOf(q, "both", killed)
+			}
+			time.Sleep(600 * time.Millisecond)
+			p = rel.Start()
+			if !rel.WaitReady(30 * time.Second) {
+				r.Broken("%s not ready within 30 s, ended %v: %v\n | %s", p.Name, p.Ended(), p.Err, p.Tail(""))
+				return
+			}
+			excuse(at)
 		case 11: // both are held up during a handover
 			s.event("upgrade with hold-ups")
 			next := rel.Start()
--- a/review/rig-2/upgrade_fleet.go
+++ b/review/rig-2/upgrade_fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,7 @@
 // for a new version, under light load. No process may crash. Without the disruption the same
 // processes serve.
 func upgradeFleet(r *Rig) {
-	const relays = 48
+	relays := min(96, max(24, 6*runtime.NumCPU())) // busy cores, as where relays share them
 	const length = 85 * time.Second
 	partner := r.NewPartner("s-1", func([]Call) time.Duration { return 40 * time.Millisecond })
 	platform := r.NewPlatform([]Endpoint{{"s-1", partner.Addr, "broker", "in_service", 1}})
