--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*Rig){
 	"drain-in-upgrade": drainInUpgrade, "reload-in-upgrade": reloadInUpgrade,
 	"upgrade-rest-burst":  upgradeRestBurst,
+	"crowd-then-stop":     crowdThenStop,
 	"upgrade-full-folder": upgradeFullFolder,
 	"stress":              stress,
 	"upgrade-fleet":       upgradeFleet,
