--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -11,14 +11,16 @@
 var errNotReloaded = errors.New("the relay did not turn to the new address")
 
 var cases = map[string]func(*Rig){
-	"drain-in-upgrade": drainInUpgrade, "reload-in-upgrade": reloadInUpgrade,
-	"upgrade-rest-burst":  upgradeRestBurst,
-	"crowd-then-stop":     crowdThenStop,
+	"reload-in-upgrade":  reloadInUpgrade,  // 6
+	"crowd-then-stop":    crowdThenStop,    // 7
+	"upgrade-rest-burst": upgradeRestBurst, // 8
+	"upgrade-fleet":      upgradeFleet,     // 9
+	"drain-in-upgrade":   drainInUpgrade,   // 10
+	// No cases: see the report.
+	"burst-then-kill":     burstThenKill,
+	"burst-then-upgrade":  burstThenUpgrade,
 	"upgrade-full-folder": upgradeFullFolder,
 	"stress":              stress,
-	"upgrade-fleet":       upgradeFleet,
-	"burst-then-upgrade":  burstThenUpgrade,
-	"burst-then-kill":     burstThenKill,
 }
 
 // main runs a case: rig-2 NAME FOLDER. The record goes to FOLDER.
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strconv"
@@ -50,6 +51,12 @@
 	r := &Rig{trouble: os.Getenv("TROUBLE") != "0", dir: dir, root: root, began: time.Now(), file: f,
 		record: bufio.NewWriter(f)}
 	theRig = r
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		cannotRun(fmt.Errorf("the run was told to end"))
+	}()
 	go func() { // a run must end by itself
 		time.Sleep(115 * time.Second)
 		cannotRun(fmt.Errorf("the run took too long"))
--- a/review/rig-2/stress.go
+++ b/review/rig-2/stress.go
@@ -204,7 +204,7 @@
 }
 
 func stress(r *Rig) {
-	seed := time.Now().UnixNano()
+	seed := rand.Int63()
 	if v, err := strconv.ParseInt(os.Getenv("SEED"), 10, 64); err == nil {
 		seed = v
 	}
@@ -291,11 +291,10 @@
 	})
 	s.pool = &Pool{rig: r, addr: rel.Addr}
 	begin := time.Now()
-	for w := range 6 {
+	for range 6 {
 		seed := rnd.Int63()
 		wg.Go(func() {
 			rr := rand.New(rand.NewSource(seed))
-			_ = w
 			for time.Since(begin) < length-23*time.Second {
 				time.Sleep(time.Duration(rr.Intn(160)) * time.Millisecond)
 				class := []string{"price-alert", "order-relay", "fee-charge"}[rr.Intn(3)]
@@ -327,7 +326,7 @@
 		})
 	}
 	wg.Go(func() { // the list changes
-		rr := rand.New(rand.NewSource(int64(len(name)) + begin.UnixNano()))
+		rr := rand.New(rand.NewSource(int64(len(name)) + rand.Int63n(1<<40)))
 		n := 0
 		for !stop.Load() {
 			time.Sleep(time.Duration(1000+rr.Intn(4000)) * time.Millisecond)
@@ -633,7 +632,6 @@
 		var delivered, firstRan time.Time
 		ran := 0
 		for i, c := range calls {
-			_ = i
 			if c.ran {
 				if ran == 0 {
 					firstRan = c.at
