--- a/review/rig-2/upgrade_fleet.go
+++ b/review/rig-2/upgrade_fleet.go
@@ -14,8 +14,8 @@
 // for a new version, under light load. No process may crash. Without the disruption the same
 // processes serve.
 func upgradeFleet(r *Rig) {
-	relays := min(96, max(24, 6*runtime.NumCPU())) // busy cores, as where relays share them
-	const length = 85 * time.Second
+	relays := min(96, max(32, 8*runtime.NumCPU())) // busy cores, as where relays share them
+	const length = 50 * time.Second
 	partner := r.NewPartner("s-1", func([]Call) time.Duration { return 40 * time.Millisecond })
 	platform := r.NewPlatform([]Endpoint{{"s-1", partner.Addr, "broker", "in_service", 1}})
 	var addrs []string
