Keep the connection limit while the accept queue is drained

A platform that keeps to its limits kills such a relay.

Cause: waitForCapacity returned at once while the accept queue was drained, in planned stops, shutdowns and upgrades, so all that waited was accepted and read. A lowered limit did not bind before the next accept either.

Change: the limit binds to the end of the process. A lowered limit closes idle connections at once. The accept loop has a file of its own.

Evidence: the new tests on the code before: 41 connections of 4 in all four ways to end, a request answered 202 above the limit, idle connections that stayed over 20 s.

--- a/internal/wire/connection.go
+++ b/internal/wire/connection.go
@@ -55,6 +55,7 @@
 	number       uint32 // in order of acceptance
 	sock         net.Conn
 	state        connState // guarded by Server.mu
+	evicted      bool      // its reads expired, to free its descriptor; until its next state
 	stateAtClose connState // state before connClosing
 	stateSince   time.Time
 }
@@ -104,6 +105,7 @@
 	if c.state == connIdle {
 		s.idleConns--
 	}
+	c.evicted = false
 	if c.state, c.stateSince = state, time.Now(); state == connIdle {
 		s.idleConns++
 	}
--- a/internal/wire/listen.go
+++ b/internal/wire/listen.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"os"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -62,35 +61,3 @@
 	}
 	return err
 }
-
-// acceptQueueQuietTime is how long no connection must arrive before the accept queue counts as
-// empty. It covers handshakes that began before the steering.
-const acceptQueueQuietTime = 20 * time.Millisecond
-
-// StopListening has Serve accept what is in the queue, then close the listener, while another
-// process listens at the address.
-func (s *Server) StopListening() {
-	if err := steerToSecondListener(s.listener); err != nil {
-		s.log.Debug("cannot steer new connections to the next process", "err", err)
-	}
-	s.drainAcceptQueue()
-}
-
-// drainAcceptQueue has Serve accept what is in the queue, for a limited time, then close the
-// listener.
-func (s *Server) drainAcceptQueue() {
-	now := time.Now()
-	s.queueDrainUntil.CompareAndSwap(0, int64(now.Add(maxAcceptQueueDrain).Sub(s.startedAt)))
-	s.drainingQueue.Store(true)
-	if d, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
-		d.SetDeadline(s.acceptQueueDeadline(now))
-	} else {
-		s.listener.Close()
-	}
-	s.signalCapacity()
-}
-
-// acceptQueueDeadline returns when the accept queue counts as empty if no connection arrives.
-func (s *Server) acceptQueueDeadline(now time.Time) time.Time {
-	return earlier(now.Add(acceptQueueQuietTime), s.startedAt.Add(time.Duration(s.queueDrainUntil.Load())))
-}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -1,10 +1,8 @@
 package wire
 
 import (
-	"errors"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,15 +19,12 @@
 const (
 	firstByteTimeout        = 2050 * time.Millisecond // first byte on a new connection
 	crowdedFirstByteTimeout = 300 * time.Millisecond  // the same while the connection limit is reached
-	crowdedPeriod           = 2 * time.Second         // how long the shorter limit applies after an eviction
-	evictionInterval        = 20 * time.Millisecond   // between two searches for a connection to evict
 	// for a request, from its first byte; for the first one, from accept
 	requestReadTimeout   = 2400 * time.Millisecond
 	responseWriteTimeout = 600 * time.Millisecond // for a response
 	drainGracePeriod     = 30 * time.Millisecond  // for a request already on its way to a draining connection
 	lingerTimeout        = 200 * time.Millisecond // for a client to read its last response and close
 	maxLingerBytes       = 256 << 10              // discarded from a closing connection
-	maxAcceptQueueDrain  = 250 * time.Millisecond // from the start of the shutdown
 	maxIDBytes           = 256                    // of an id, a key or a tenant
 )
 
@@ -100,113 +95,7 @@
 	if s.retryAdvice.Store(0); settings.SendRetryAfter {
 		s.retryAdvice.Store(int64(settings.MaxRetryAfter))
 	}
-	s.mu.Lock()
-	s.maxConns = maxConns
-	s.mu.Unlock()
-}
-
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve() {
-	s.setAccepting(true)
-	defer s.setAccepting(false)
-	for {
-		s.waitForCapacity()
-		draining := s.drainingQueue.Load()
-		if draining {
-			s.listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(s.acceptQueueDeadline(time.Now()))
-		}
-		sock, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// Only an Accept that began after the drain started shows that the queue is empty.
-			if draining {
-				s.listener.Close()
-				return
-			}
-			continue
-		}
-		if err != nil {
-			// Avoids a busy loop while descriptors are exhausted; the listener keeps the queue.
-			s.log.Warn("accept failed", "err", err)
-			time.Sleep(20 * time.Millisecond)
-			continue
-		}
-		c := &clientConn{sock: sock, stateSince: time.Now()}
-		s.mu.Lock()
-		s.lastConnNumber++
-		c.number = s.lastConnNumber
-		s.conns[c] = struct{}{}
-		s.trace.record(c.number, traceAccept, int64(len(s.conns)), 0)
-		limit := firstByteTimeout
-		if c.stateSince.Before(s.crowdedUntil) {
-			limit = crowdedFirstByteTimeout // it may have waited in the accept queue
-		}
-		if s.drainView.Load().CloseIdle {
-			limit = min(limit, drain.FirstRequestTimeout)
-		}
-		s.setReadDeadline(c, c.stateSince.Add(limit))
-		s.mu.Unlock()
-		go s.serveConn(c)
-	}
-}
-
-// waitForCapacity waits until another connection may be accepted. At the limit it evicts
-// connections that sent nothing within their time, or else the one that has been idle longest.
-func (s *Server) waitForCapacity() {
-	waitingSince := time.Time{}
-	for !s.drainView.Load().StopAccepting && !s.drainingQueue.Load() {
-		s.mu.Lock()
-		now, atLimit := time.Now(), len(s.conns) >= s.maxConns
-		if atLimit {
-			var oldest *clientConn
-			evicted, newConns, idleConns := 0, 0, 0
-			for c := range s.conns {
-				switch c.state {
-				case connNew:
-					newConns++
-				case connIdle:
-					idleConns++
-				}
-				switch {
-				case c.state == connNew && now.Sub(c.stateSince) >= crowdedFirstByteTimeout:
-					c.sock.SetReadDeadline(time.Unix(1, 0))
-					s.trace.record(c.number, traceEvict, int64(c.state), 0)
-					evicted++
-				case c.state == connIdle && (oldest == nil || c.stateSince.Before(oldest.stateSince)):
-					oldest = c
-				}
-			}
-			if s.crowdedUntil = now.Add(crowdedPeriod); evicted == 0 && oldest != nil {
-				oldest.sock.SetReadDeadline(time.Unix(1, 0))
-				s.trace.record(oldest.number, traceEvict, int64(oldest.state), 0)
-			}
-			if waitingSince.IsZero() {
-				waitingSince = now
-				s.trace.record(0, traceWait, int64(newConns), int64(idleConns))
-			}
-		}
-		s.mu.Unlock()
-		if !atLimit {
-			if !waitingSince.IsZero() {
-				s.trace.record(0, traceWaitEnded, now.Sub(waitingSince).Microseconds(), 0)
-			}
-			return
-		}
-		select {
-		case <-s.capacityFreed:
-		case <-time.After(evictionInterval):
-		}
-	}
-}
-
-// signalCapacity wakes the accept loop, which may be waiting for capacity.
-func (s *Server) signalCapacity() {
-	select {
-	case s.capacityFreed <- struct{}{}:
-	default:
-	}
+	s.SetMaxConns(maxConns)
 }
 
 // HandleDrainEvent applies an event of the drain and its effects. Safe for concurrent use.
@@ -274,16 +163,3 @@
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
-
-// Accepting reports whether further connections may be accepted.
-func (s *Server) Accepting() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.accepting
-}
-
-func (s *Server) setAccepting(on bool) {
-	s.mu.Lock()
-	s.accepting = on
-	s.mu.Unlock()
-}
