Divide the disk limit in an upgrade by shares that only shrink and are told

Cause: the same room was given out to the leaving process (its first share, never lowered), to the new one (raised as the other's files shrank) and to the copies of an adoption.

The successor uses the rest. Adoption first leaves room for its batch and for a segment's copy. A standby writes no reserve file. Transfers have a file of their own.

--- a/internal/daemon/adopt.go
+++ b/internal/daemon/adopt.go
@@ -4,7 +4,6 @@
 	"errors"
 	"slices"
 
-	"oatfold/internal/handover"
 	"oatfold/internal/handover/processdir"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
@@ -51,9 +50,8 @@
 			err = errSuccessorUnreadable
 		} else {
 			err = s.retry("a process directory can't be read", func() (err error) {
-				j.journal, j.table, err = journal.Open(journal.Config{FS: journal.Dir(dir.Path),
-					Budget:    s.diskBytes() - s.stateDir.UsedBytes(dir),
-					TimeScale: s.stateDir.TimeScale(), Log: s.log, CompactInline: true})
+				j.journal, j.table, err = journal.Open(journal.Config{FS: journal.Dir(dir.Path), Budget: s.diskBytes(),
+					NoReserve: true, TimeScale: s.stateDir.TimeScale(), Log: s.log, CompactInline: true})
 				return err
 			})
 		}
@@ -114,7 +112,7 @@
 		if err := s.ctx.Err(); err != nil {
 			return err
 		}
-		n, batch := copyBatch(remaining, handover.MaxTransferBytes(s.freeBytes()))
+		n, batch := copyBatch(remaining, s.divideDisk(j))
 		if !s.waitCommitted(s.host.Adopt(wire.Transfer{Messages: batch})) {
 			return s.ctx.Err()
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"oatfold/internal/daemon/config"
 	"oatfold/internal/drain"
 	"oatfold/internal/handover/processdir"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/metrics"
 	"oatfold/internal/plugin"
 	"oatfold/internal/wire"
@@ -77,6 +78,7 @@
 	stopping         atomic.Bool // a planned stop, which ends a drain
 	announcedDrain   bool        // the fleet knows that this relay is drained and empty
 	othersBytes      int64       // bytes of the state folder outside the own directory, as last seen
+	kept             keptShares  // what leaving processes keep of the limits
 	cancelPluginLoad func()
 }
 
@@ -180,9 +182,9 @@
 			r.applyReload(ctx, result)
 		case <-standbyCheck:
 			// Keeps the journal and the directory of a standby within the disk limit together.
-			if used := r.stateDir.UsedBytes(r.dir); !r.takingOver.Load() && used != r.othersBytes {
+			if used := r.stateDir.UsedBytes(r.dir); used != r.othersBytes {
 				r.othersBytes = used
-				r.updateJournalShare()
+				r.updateJournalBudget()
 			}
 			r.announceDrain()
 		case result := <-r.pluginLoad:
@@ -196,10 +198,12 @@
 // small files.
 func (r *relay) diskBytes() int64 { return r.config.DiskBytes - config.SmallFileBytes }
 
-// updateJournalShare sets the journal's share of the disk limit after either has changed.
-func (r *relay) updateJournalShare() {
-	alone := r.server.Load() != nil && !r.takingOver.Load()
-	r.host.SetJournalShare(r.diskBytes(), r.stateDir.UsedBytes(r.dir), alone)
+// updateJournalBudget sets the journal's budget after the disk limit or the use of the disk has
+// changed. A standby accepts no messages, and a takeover sets the budget itself.
+func (r *relay) updateJournalBudget() {
+	if r.server.Load() != nil && !r.takingOver.Load() {
+		r.host.SetJournalBudget(share.SuccessorDisk(r.diskBytes(), r.stateDir.UsedBytes(r.dir)))
+	}
 }
 
 // standBy waits for the leader lock and reports whether this process holds it; false if it received
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -29,6 +29,7 @@
 	// By sender: its latest file that was adopted. It stays in the spool without its messages, for a
 	// successor that is restarted.
 	latestTransfer map[string]string
+	leaving        []string // directories of the processes that are leaving
 	steps          []unfinishedStep
 	unadopted      unadopted
 	finishing      bool // the takeover is over but for what could not be read before
@@ -52,7 +53,8 @@
 func (s *successor) takeOver() (leaving bool) {
 	s.host.BeginTransferScan()
 	others := s.listOthers()
-	leaving = s.isLeaving(others.running)
+	s.leaving = s.leavingAmong(others.running)
+	leaving = len(s.leaving) > 0
 	// A message may be both in a directory and in a transfer: the transfer is read first. All
 	// transfers of the process of an abandoned directory are there by now.
 	s.adoptTransfers(leaving)
@@ -62,12 +64,13 @@
 	}
 	if !leaving {
 		s.removeLatestTransfers()
+		s.kept.forget()
 		s.stateDir.RemovePartialTransfers()
 		s.waitCommitted(s.host.Adopt(wire.Transfer{LastProcess: true}))
 	} else if s.ctx.Err() == nil {
 		s.host.EndTransferScan()
 	}
-	s.host.SetJournalShare(s.diskBytes(), s.stateDir.UsedBytes(s.dir), !leaving)
+	s.updateJournalShare()
 	return leaving
 }
 
@@ -93,11 +96,14 @@
 	return others
 }
 
-// isLeaving reports whether one of the running processes is still leaving.
-func (s *successor) isLeaving(running []string) bool {
-	return slices.ContainsFunc(running, func(name string) bool {
-		return s.stateDir.Status(name) == processdir.StatusServing
-	})
+// leavingAmong returns the directories of those running processes that are still leaving.
+func (s *successor) leavingAmong(running []string) (leaving []string) {
+	for _, name := range running {
+		if s.stateDir.Status(name) == processdir.StatusServing {
+			leaving = append(leaving, name)
+		}
+	}
+	return leaving
 }
 
 // takeOverUntilLast opens gossip and repeats takeOver until no other process is leaving. Until then
@@ -182,6 +188,7 @@
 			// Its sender has ended, perhaps long ago.
 			update = &handover.Update{Numbering: update.Numbering, Incarnation: update.Incarnation}
 		}
+		s.kept.tell(sender, update.Kept)
 		hadMessages := len(messages) > 0
 		messages = s.withoutKnown(messages)
 		for _, m := range messages {
@@ -230,9 +237,6 @@
 	}
 }
 
-// freeBytes returns the free part of the disk limit, over all processes.
-func (r *relay) freeBytes() int64 { return r.config.DiskBytes - r.stateDir.UsedBytes(nil) }
-
 // handOver hands the relay over to a standby process and waits until this one may exit. It returns
 // false if no process stands by or the handover can't begin.
 func (r *relay) handOver() bool {
@@ -247,8 +251,8 @@
 		return false
 	}
 	began, server := time.Now(), r.server.Load()
-	r.host.SetJournalShare(r.diskBytes(), r.stateDir.UsedBytes(r.dir), false)
-	if r.host.HandOver(r.stateDir.WriteTransfer, server.Drained(), handover.MaxTransferBytes(r.freeBytes())) != nil {
+	if r.host.HandOver(wire.Handover{Send: r.stateDir.WriteTransfer, ProcessDir: r.dir.Name, Disk: r.diskUse(),
+		Drained: server.Drained()}) != nil {
 		return false
 	}
 	r.log.Info("handing over", "standing_by", running)
@@ -262,9 +266,7 @@
 	server.HandleDrainEvent(drain.HandOver)
 	progress, listenerClosed, readsStopped := handover.Progress{}, false, false
 	for {
-		if r.stateDir.OwnTransfers() < maxPendingTransfers {
-			r.host.TransferRemaining(handover.MaxTransferBytes(r.freeBytes()))
-		}
+		r.host.TransferRemaining(r.diskUse(), r.stateDir.OwnTransfers() < maxPendingTransfers)
 		// Read in this order: once the listener is closed, no connection is added.
 		progress.Listening = server.Accepting()
 		progress.Elapsed, progress.ClientConns = time.Since(began), server.OpenConnections()
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -98,7 +98,7 @@
 func (r *relay) applyReload(ctx context.Context, result configReadResult) {
 	r.configRead = nil
 	r.config = applyConfig(r.config, result, r.host, r.server.Load(), r.log)
-	r.updateJournalShare()
+	r.updateJournalBudget()
 	if r.reloadAgain {
 		r.reloadAgain = false
 		r.reload()
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -8,8 +8,8 @@
 
 	"oatfold/internal/admin"
 	"oatfold/internal/daemon/config/operator"
-	"oatfold/internal/handover"
 	"oatfold/internal/handover/processdir"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/internal/sites"
@@ -115,15 +115,13 @@
 	table   *memory.Table
 }
 
-// openJournal opens the journal in this process's directory with its share of the disk limit.
+// openJournal opens the journal in this process's directory with what is left of the disk limit. A
+// standby leaves that to the process that serves, and writes no reserve file yet.
 func (r *relay) openJournal(active bool, bodyBytes int64) (opened openedJournal, err error) {
-	budget := r.diskBytes() - r.stateDir.UsedBytes(r.dir)
-	if !active {
-		budget = handover.JournalBudget(r.diskBytes(), 0, r.stateDir.UsedBytes(r.dir))
-	}
+	budget := share.SuccessorDisk(r.diskBytes(), r.stateDir.UsedBytes(r.dir))
 	err = r.retryStart("journal can't be opened", func() (err error) {
 		opened.journal, opened.table, err = journal.Open(journal.Config{FS: journal.Dir(r.dir.Path), Budget: budget,
-			MaxBodyBytes: bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: r.log})
+			NoReserve: !active, MaxBodyBytes: bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: r.log})
 		return err
 	})
 	if err != nil {
--- a/internal/daemon/unfinished.go
+++ b/internal/daemon/unfinished.go
@@ -73,7 +73,7 @@
 	if s.unadopted.unlisted {
 		others := s.listOthers()
 		dirs = append(dirs, others.abandoned...)
-		s.unadopted.unlisted = s.unadopted.unlisted || s.isLeaving(others.running)
+		s.unadopted.unlisted = s.unadopted.unlisted || len(s.leavingAmong(others.running)) > 0
 	}
 	s.adoptTransfers(false)
 	if !s.unadopted.unlisted {
@@ -84,7 +84,7 @@
 	for _, j := range journals {
 		s.log.Info("process directory adopted after all", "room", j.dir.Path)
 	}
-	s.host.SetJournalShare(s.diskBytes(), s.stateDir.UsedBytes(s.dir), true)
+	s.updateJournalShare()
 }
 
 // withoutKnown returns the messages that may be adopted now.
@@ -130,7 +130,7 @@
 		s.log.Info(step.done, "name", step.name)
 	}
 	if len(remaining) < len(s.steps) {
-		s.host.SetJournalShare(s.diskBytes(), s.stateDir.UsedBytes(s.dir), true)
+		s.updateJournalShare()
 	}
 	s.steps = remaining
 	return len(remaining) == 0
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,6 +1,6 @@
 // Package handover defines what two processes of one relay agree on while one replaces the other:
-// the state that is transferred, how the disk is divided meanwhile, and what the leaving process
-// does when. It does no I/O and reads no clock.
+// the state that is transferred, and what the leaving process does when. Package share divides their
+// limits meanwhile. It does no I/O and reads no clock.
 package handover
 
 import (
@@ -9,6 +9,7 @@
 	"time"
 
 	"oatfold/internal/handover/sequence"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/memory"
 	"oatfold/policy"
 )
@@ -23,6 +24,8 @@
 	Drained       bool                   `json:"drained,omitempty"`     // operators have drained the relay
 	Incarnation   uint32                 `json:"incarnation,omitempty"` // in the fleet; 0: members are not tracked
 
+	Kept *share.Kept `json:"kept,omitempty"` // what the sender keeps of the limits; nil: an earlier version
+
 	PendingOrdered []sequence.Message      `json:"owes,omitempty"`    // pending messages of ordered classes
 	Numbering      *memory.SharedNumbering `json:"numbers,omitempty"` // how both processes number messages from now on
 }
@@ -64,19 +67,6 @@
 	return update, nil
 }
 
-// JournalBudget returns the bytes of disk that a process's journal may use while another process
-// has a directory as well: own, which it uses already, and half of what own and others, which all
-// other files use, leave of total.
-func JournalBudget(total, own, others int64) int64 { return own + max(0, total-own-others)/2 }
-
-// MaxTransferBytes returns how many bytes of messages may be transferred at once: an eighth of
-// free, the free bytes of the disk limit, and at most maxTransferBytes. A transferred message is in
-// two journals and the spool for a moment, in addition to the copy that compaction makes.
-func MaxTransferBytes(free int64) int64 { return min(max(0, free)/8, maxTransferBytes) }
-
-// maxTransferBytes has room for a message with the longest body, 64 KiB, and all that goes with it.
-const maxTransferBytes = 80 << 10
-
 // Times of the leaving process, counted from SIGTERM.
 const (
 	StopListeningAfter = 450 * time.Millisecond  // when the listener closes even if no successor serves
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -5,8 +5,7 @@
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
+	"oatfold/internal/handover/share"
 	"oatfold/policy"
 )
 
@@ -35,26 +34,6 @@
 	}
 }
 
-// Two processes that recompute their budgets at any time and in any order never exceed the total.
-func TestJournalBudgetsStayWithinTotal(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		total := rapid.Int64Range(1, 1<<20).Draw(t, "all")
-		var used, budget [2]int64
-		used[0] = rapid.Int64Range(0, total).Draw(t, "old")
-		budget[0], budget[1] = JournalBudget(total, used[0], 0), JournalBudget(total, 0, used[0])
-		for range rapid.IntRange(1, 20).Draw(t, "turns") {
-			i := rapid.IntRange(0, 1).Draw(t, "who")
-			if free := budget[i] - used[i]; free > 0 && rapid.Bool().Draw(t, "writes") {
-				used[i] += rapid.Int64Range(0, free/2).Draw(t, "bytes")
-			}
-			budget[i] = JournalBudget(total, used[i], used[1-i])
-			if used[0]+used[1] > total {
-				t.Fatalf("%v of %d", used, total)
-			}
-		}
-	})
-}
-
 func TestUpdateRoundTrip(t *testing.T) {
 	update := &Update{
 		InFlightCalls: []policy.InheritedCall{{Endpoint: "e", Age: time.Second}},
@@ -65,6 +44,7 @@
 		EndpointList: &EndpointList{4, []ListedEndpoint{
 			{policy.Endpoint{Address: "e", State: policy.Draining}, "127.0.0.1:1"}}},
 		Drained: true,
+		Kept:    &share.Kept{ProcessDir: "life-1", DiskBytes: 7},
 	}
 	got, err := Decode(update.Encode())
 	if err != nil || !reflect.DeepEqual(got, update) {
--- a/internal/handover/processdir/processdir.go
+++ b/internal/handover/processdir/processdir.go
@@ -334,20 +334,44 @@
 	dir.lockFile.Close()
 }
 
-// UsedBytes returns the bytes of disk that all files outside the directory own take; those of all
-// files if own is nil.
-func (s *StateDir) UsedBytes(own *Dir) (bytes int64) {
-	for _, name := range append(s.dirNames(), spoolName) {
-		if own != nil && name == own.Name {
-			continue
+// Usage is the space that the files of the state folder take on disk, in bytes.
+type Usage struct {
+	Dirs  map[string]int64 // by name of the process directory
+	Spool map[string]int64 // transfers, by sender
+}
+
+// Usage measures the files of the state folder.
+func (s *StateDir) Usage() Usage {
+	usage := Usage{Dirs: map[string]int64{}, Spool: map[string]int64{}}
+	for _, name := range s.dirNames() {
+		usage.Dirs[name] = 0
+		s.eachFile(name, func(_ string, bytes int64) { usage.Dirs[name] += bytes })
+	}
+	s.eachFile(spoolName, func(file string, bytes int64) { usage.Spool[TransferSender(file)] += bytes })
+	return usage
+}
+
+// eachFile calls f with each file of a directory and the space that it takes.
+func (s *StateDir) eachFile(dir string, f func(name string, bytes int64)) {
+	entries, _ := os.ReadDir(s.path(dir))
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil && !e.IsDir() {
+			f(e.Name(), (info.Size()+blockSize-1)/blockSize*blockSize)
 		}
-		entries, _ := os.ReadDir(s.path(name))
-		for _, e := range entries {
-			if info, err := e.Info(); err == nil && !e.IsDir() {
-				bytes += (info.Size() + blockSize - 1) / blockSize * blockSize
-			}
+	}
+}
+
+// UsedBytes returns the bytes of disk that all files outside the directory own take.
+func (s *StateDir) UsedBytes(own *Dir) (bytes int64) {
+	usage := s.Usage()
+	for name, used := range usage.Dirs {
+		if name != own.Name {
+			bytes += used
 		}
 	}
+	for _, used := range usage.Spool {
+		bytes += used
+	}
 	return bytes
 }
 
@@ -418,11 +442,13 @@
 	return names
 }
 
+// Sender returns the id of this process as the sender of transfers.
+func Sender() string { return strconv.Itoa(os.Getpid()) }
+
 // OwnTransfers counts the files of the spool that this process wrote.
 func (s *StateDir) OwnTransfers() (count int) {
-	own := strconv.Itoa(os.Getpid())
 	for _, name := range s.Transfers() {
-		if TransferSender(name) == own {
+		if TransferSender(name) == Sender() {
 			count++
 		}
 	}
--- /dev/null
+++ b/internal/handover/share/disk.go
@@ -0,0 +1,101 @@
+// Package share divides a relay's limits between two of its processes while one replaces the other.
+// The process that leaves keeps a share that only shrinks, and tells its size with each transfer; the
+// other one may use the rest. So what both may use never exceeds the limit, however late the other
+// one learns of a change. The package does no I/O and reads no clock.
+package share
+
+import "oatfold/internal/memory/journal/plan"
+
+// Kept is what a leaving process keeps of the relay's limits from now on. Later values are never
+// larger.
+type Kept struct {
+	ProcessDir string `json:"dir"`  // name of the process's directory
+	DiskBytes  int64  `json:"disk"` // for its journal, and its transfers in the spool
+}
+
+// DiskUse is the use of the disk limit as a leaving process sees it, in bytes.
+type DiskUse struct {
+	Limit   int64 // for the journals and transfers of all processes
+	Others  int64 // files of others, or what they keep if that is more
+	Spooled int64 // own transfers in the spool
+	Needed  int64 // own journal: its files, and what it must still be able to write
+}
+
+// fairShare returns what the leaving process has and needs, and half of what is free.
+func (u DiskUse) fairShare() int64 {
+	own := u.Needed + u.Spooled
+	return own + max(0, u.Limit-u.Others-own)/2
+}
+
+// LeavingDisk is the share of the disk limit that a leaving process keeps.
+type LeavingDisk struct{ bytes int64 }
+
+// KeepDisk returns the share of a process that begins to leave.
+func KeepDisk(use DiskUse) LeavingDisk { return LeavingDisk{use.fairShare()} }
+
+// Bytes returns the size of the share.
+func (l LeavingDisk) Bytes() int64 { return l.bytes }
+
+// Lower gives up what the process no longer needs, and half of what is free.
+func (l *LeavingDisk) Lower(use DiskUse) { l.bytes = min(l.bytes, use.fairShare()) }
+
+// JournalBudget returns the part of the share that the journal may use: all but the transfers, and
+// the room for further ones, so that no new message keeps the others from being passed on.
+func (l LeavingDisk) JournalBudget(use DiskUse) int64 {
+	return l.bytes - use.Spooled - min(l.free(use)/2, 2*MaxTransferBytes)
+}
+
+// free returns what the share has beyond what its process needs.
+func (l LeavingDisk) free(use DiskUse) int64 { return max(0, l.bytes-use.Spooled-use.Needed) }
+
+// MaxTransferBytes has room for a message with the longest body, 64 KiB, and all that goes with it.
+const MaxTransferBytes = 80 << 10
+
+// TransferCapacity returns how many bytes may be passed on with the next transfer. It is half of what
+// is free of the share: until the transfer is adopted its messages are in the spool, and the room
+// that they need in the other journal is given up already.
+func (l LeavingDisk) TransferCapacity(use DiskUse) int64 {
+	return min(l.free(use)/2, MaxTransferBytes)
+}
+
+// Pass gives up the bytes that a transfer is going to take in the other process's journal. It is
+// called before the transfer is written, with the result as what this process keeps.
+func (l *LeavingDisk) Pass(bytes int64) { l.bytes -= bytes }
+
+// Restore takes back what was passed with a transfer that could not be written.
+func (l *LeavingDisk) Restore(bytes int64) { l.bytes += bytes }
+
+// TransferCost returns the bytes to pass with a transfer: the room that its messages take in the
+// other journal, and that of a copy without them, which stays in the spool for a restart. sizeBytes
+// is the size of its file, metadataBytes that of the part without messages, and reserveBytes what
+// the other journal reserves for the records that may follow.
+func TransferCost(sizeBytes, metadataBytes, reserveBytes int64) int64 {
+	return plan.DiskSize(sizeBytes) + plan.DiskSize(metadataBytes) + reserveBytes
+}
+
+// SuccessorDisk returns what a journal may use beside others: their files, or what they keep if
+// that is more.
+func SuccessorDisk(limit, others int64) int64 { return limit - others }
+
+// UntoldDisk returns what a journal that has or reserves own bytes may use beside a leaving process
+// that does not tell its share, as earlier versions don't: half of what is free, which that process
+// leaves.
+func UntoldDisk(limit, own, others int64) int64 { return own + max(0, limit-own-others)/2 }
+
+// Adoption divides the disk limit while one process adopts the journal of another that has ended,
+// whose messages are in both journals for a moment.
+type Adoption struct {
+	Successor int64 // budget of the own journal for new messages
+	Adopted   int64 // budget of the adopted journal, whose compaction frees its space
+	Batch     int64 // bytes to adopt at once
+}
+
+// DivideForAdoption returns the division: adopted is the size of the adopted journal, own what the
+// other one has and reserves, and others what all the rest takes.
+func DivideForAdoption(limit, others, adopted, own int64) Adoption {
+	room := plan.DiskSize(plan.SegmentSize(limit)) + MaxTransferBytes
+	successor := limit - others - adopted - room
+	free := max(0, limit-others-adopted-max(successor, own))
+	batch := min(free/2, MaxTransferBytes)
+	return Adoption{Successor: successor, Adopted: adopted + free - batch, Batch: batch}
+}
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -36,6 +36,7 @@
 type Config struct {
 	FS            FS
 	Budget        int64       // bytes that all files together may use
+	NoReserve     bool        // no reserve file until EnableReserve: no message is accepted yet
 	MaxBodyBytes  int64       // bytes that journaled message bodies may use in memory; 0: no limit
 	TimeScale     clock.Scale // time scale of the records; the zero value is the wall clock
 	Log           *slog.Logger
@@ -64,6 +65,7 @@
 	completedSeq        uint64 // sequence number of the last completed message
 	remembered          *plan.CompletionWindow
 	maxNumber           uint32 // largest message number
+	fullBudget          int64  // config.Budget, unless that is a share of it
 	unavailable         bool   // the last write failed
 	reserveSize         int64  // size of the reserve file; 0: there is none
 	reserveDeferred     bool   // the last Maintain left the reserve's space to a compaction
@@ -102,8 +104,22 @@
 
 // SetBudget sets the disk budget in bytes. Existing messages are kept.
 func (j *Journal) SetBudget(budget int64) {
-	j.config.Budget = budget
+	j.fullBudget = budget
 	j.remembered.SetLimit(plan.CompletionLimit(budget))
+	j.config.Budget = budget
+}
+
+// SetShare sets the disk budget in bytes for as long as another process needs the rest. Unlike
+// SetBudget it forgets no completion and keeps the reserve file.
+func (j *Journal) SetShare(budget int64) { j.config.Budget = budget }
+
+// EnableReserve creates the reserve file, if there is none and the budget has room for one. Without it
+// no message is accepted.
+func (j *Journal) EnableReserve() {
+	j.config.NoReserve = false
+	if j.reserveSize == 0 && !j.unavailable && j.activeFile != nil {
+		j.createReserve() // if that fails, Maintain tries again
+	}
 }
 
 // SetMaxAttempts sets the limit of attempts for a message, whose records are reserved for.
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -42,11 +42,12 @@
 func (s Segment) DeadBytes() int64 { return s.Size - s.LiveBytes - s.RetainedBytes }
 
 // ReservedBytes returns the part of the budget that is kept free for the remaining records of pending
-// messages, which take reserved bytes, and for the copy that compaction makes of a segment. The copy
-// gets at most half the budget, so that a small one still accepts messages.
-func ReservedBytes(budget, reserved int64) int64 {
-	return min(DiskSize(SegmentSize(budget)), budget/2) + reserved
-}
+// messages, which take reserved bytes, and for the copy that compaction makes of a segment.
+func ReservedBytes(budget, reserved int64) int64 { return reservedForCopy(budget) + reserved }
+
+// reservedForCopy returns the bytes that are always reserved for a copy: at most half the budget, so
+// that a small one still accepts messages.
+func reservedForCopy(budget int64) int64 { return min(DiskSize(SegmentSize(budget)), budget/2) }
 
 // Fits reports whether a message with a record of that many bytes may be accepted. used is the
 // space that all files use, reserved that of the remaining records of all pending messages with
@@ -62,7 +63,7 @@
 // ReserveFileSize returns the size of the file whose space is released when the disk is full; 0 if
 // the budget is too small for one.
 func ReserveFileSize(budget int64) int64 {
-	return min(budget/64, 256<<10) / BlockSize * BlockSize
+	return min(max(0, budget)/64, 256<<10) / BlockSize * BlockSize
 }
 
 // MinBudget returns the smallest budget, in whole KiB, in which a message of MaxMessageBytes fits
@@ -155,7 +156,7 @@
 // CopyReserve returns the bytes to keep free for a copy that is being written, beyond those that are
 // always reserved for one.
 func CopyReserve(budget, copyBytes int64) int64 {
-	return max(0, DiskSize(copyBytes)-DiskSize(SegmentSize(budget)))
+	return max(0, DiskSize(copyBytes)-reservedForCopy(budget))
 }
 
 // mayCopy reports whether there is space for the copy of a segment. Once messages are refused, one
--- a/internal/memory/journal/recover.go
+++ b/internal/memory/journal/recover.go
@@ -22,7 +22,7 @@
 // by a later Commit or Maintain.
 func Open(config Config) (*Journal, *memory.Table, error) {
 	j := &Journal{
-		config: config, locations: map[uint32]locations{}, reserves: newReserves(),
+		config: config, fullBudget: config.Budget, locations: map[uint32]locations{}, reserves: newReserves(),
 		remembered: plan.NewCompletionWindow(memory.MaxCompletedIDs, plan.CompletionLimit(config.Budget)),
 	}
 	names, err := config.FS.List()
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -71,7 +71,7 @@
 func (j *Journal) markWritable() {
 	if j.unavailable {
 		j.unavailable = false
-		j.remembered.SetLimit(plan.CompletionLimit(j.config.Budget))
+		j.remembered.SetLimit(plan.CompletionLimit(j.fullBudget))
 	}
 }
 
@@ -86,12 +86,23 @@
 }
 
 // createReserve creates the reserve file, whose space is released when the disk is full so that
-// completions can still be written, or makes it smaller after the budget was lowered. After a failed
-// write it is written anew in any case, which shows whether the disk takes writes again. It reports
-// whether the reserve is there; if not, Maintain tries again.
+// completions can still be written. It makes it smaller after the budget was lowered, which a share of
+// the budget does not, and larger once there is room. After a failed write it is written anew in any
+// case, which shows whether the disk takes writes again. It reports whether the reserve is there; if
+// not, Maintain tries again.
 func (j *Journal) createReserve() bool {
-	size := plan.ReserveFileSize(j.config.Budget)
-	if !j.unavailable && (j.reserveSize == size || j.reserveSize > 0 && j.reserveSize < size) {
+	if j.config.NoReserve {
+		return true
+	}
+	size := plan.ReserveFileSize(j.fullBudget)
+	if j.config.Budget < j.fullBudget && j.reserveSize < size {
+		size = max(j.reserveSize, plan.ReserveFileSize(j.config.Budget))
+	}
+	if !j.unavailable && j.reserveSize > 0 && j.reserveSize <= size &&
+		!plan.Fits(j.config.Budget, j.usedBytes()+j.batchBytes, j.reserves.bytes(), size) {
+		size = j.reserveSize // no room for a larger one beside it
+	}
+	if !j.unavailable && j.reserveSize == size {
 		return true
 	}
 	if size == 0 {
@@ -108,5 +119,24 @@
 	return true
 }
 
+// CommittedBytes returns the space that the files use, with the records that are still to be written
+// and the copy that a running compaction writes.
+func (j *Journal) CommittedBytes() int64 {
+	return j.usedBytes() + j.batchBytes + j.reserves.bytes() + plan.DiskSize(j.copyBytes)
+}
+
+// NeededBytes returns the smallest share with which the journal can write all records that may follow
+// for the messages that it holds, and compact its segments, which were sealed under the disk limit.
+func (j *Journal) NeededBytes(limit int64) int64 {
+	return j.usedBytes() + j.batchBytes + plan.ReservedBytes(limit, j.reserves.bytes()) +
+		plan.CopyReserve(limit, j.copyBytes)
+}
+
+// MessageReserve returns the space that is reserved for the records that may follow for a message with
+// an id of that many bytes.
+func (j *Journal) MessageReserve(idBytes int) int64 {
+	return plan.MessageReserve(j.reserves.maxAttempts, idBytes)
+}
+
 // usedBytes returns the space that all files use on disk.
 func (j *Journal) usedBytes() int64 { return j.segmentBytes + j.reserveSize }
--- a/internal/wire/attempts.go
+++ b/internal/wire/attempts.go
@@ -177,7 +177,7 @@
 	}
 	if result.conn != nil && result.reusable {
 		result.conn.lastUsed = time.Now()
-		if result.conn.endpoint.removed() || h.sendToSuccessor != nil {
+		if result.conn.endpoint.removed() || h.leavingProcess != nil {
 			close(result.conn.calls)
 		} else {
 			result.conn.endpoint.idle = append(result.conn.endpoint.idle, result.conn)
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -6,9 +6,8 @@
 	"time"
 
 	"oatfold/internal/handover"
-	"oatfold/internal/handover/sequence"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/memory"
-	"oatfold/internal/memory/journal"
 	"oatfold/policy"
 )
 
@@ -192,158 +191,31 @@
 	return drained
 }
 
-// HandOver stops the policy steps and transfers this process's state and all messages that are not
-// in flight to the next process. Files hold bodies of up to capacity bytes; TransferRemaining sends
-// the rest. If the first file cannot be written, nothing changes.
-func (h *Host) HandOver(send func([]byte) error, drained bool, capacity int64) (err error) {
+// SetJournalBudget sets the journal's disk budget, in bytes.
+func (h *Host) SetJournalBudget(budget int64) {
 	h.Do(func(h *Host) {
-		waiting := h.callsAwaitingNotification
-		h.callsAwaitingNotification = nil
-		for _, cl := range waiting {
-			h.endUnsentCall(cl) // its messages are transferred
-		}
-		state, numbers := h.relay.ExportState(h.now()), h.table.NewSharedNumbering()
-		update := &handover.Update{Drained: drained, LearnedState: &state, Incarnation: h.incarnation(),
-			EndpointList: &handover.EndpointList{Generation: h.listGeneration},
-			Numbering:    &numbers}
-		for _, ep := range h.endpoints {
-			update.EndpointList.Endpoints = append(update.EndpointList.Endpoints,
-				handover.ListedEndpoint{HostPort: ep.addr,
-					Endpoint: policy.Endpoint{Address: ep.id, Destination: ep.dest, Kind: h.destKinds[ep.dest],
-						Zone: ep.zone, State: policy.EndpointState(ep.state.Load()), Rate: ep.rate}})
-			if ep.backoff.active() {
-				h.untransferredRetryAfters = append(h.untransferredRetryAfters,
-					handover.RetryAfter{Endpoint: ep.id, Dest: ep.dest, Until: h.dateAfter(ep.backoff.remaining())})
-			}
-		}
-		h.untransferred = nil
-		for _, m := range h.table.All() {
-			if transferable(m) {
-				h.untransferred = append(h.untransferred, m)
-			} else if m.Notification == nil {
-				// It is transferred once that is possible. A file that names it twice could not be
-				// read.
-				update.OwnedIDs = append(update.OwnedIDs, m.ID)
-			}
-		}
-		slices.SortFunc(h.untransferred, func(a, b *memory.Message) int {
-			return int(int64(a.Number) - int64(b.Number))
-		})
-		h.reportedInFlight = -1
-		if err = h.transferPending(send, update, capacity); err != nil {
-			h.untransferredRetryAfters, h.untransferred = nil, nil
-			return
-		}
-		h.sendToSuccessor, h.stepsStopped, h.arrivals, h.pendingEvents = send, true, nil, nil
-		h.watchAllDeadlines()
-		h.sequencer = sequence.Sequencer{}
-		h.table.UseSharedNumbering(numbers)
-		for cl := range h.calls {
-			for i := range cl.items {
-				cl.items[i].reported, cl.items[i].resubmit = true, true // unfinished messages are transferred
-			}
-		}
-		for _, ep := range h.endpoints {
-			h.closeIdleConns(ep)
-		}
-	})
-	return err
-}
-
-// TransferRemaining transfers what is left: what did not fit, messages accepted since, and those
-// that calls left unfinished.
-func (h *Host) TransferRemaining(capacity int64) {
-	h.Do(func(h *Host) {
-		if h.sendToSuccessor != nil {
-			h.transferPending(h.sendToSuccessor, &handover.Update{}, capacity)
-		}
+		h.journal.SetBudget(budget)
+		h.journal.EnableReserve()
 	})
 }
 
-// transferable reports whether m can be transferred: it is neither in flight nor completed by a
-// notification, its client was answered, and its body is in memory.
-func transferable(m *memory.Message) bool {
-	return m.InFlight == nil && m.Notification == nil && !m.Unanswered && m.SpilledBytes == 0 &&
-		(!m.MemoryOnly || m.Body != nil)
-}
-
-// transferOverheadBytes bounds the size of a transferred message without its body.
-const transferOverheadBytes = 700
-
-// selectTransfer returns the messages that fit into capacity bytes, and those that stay. A message
-// that does not fit holds up no other: the next process keeps the order of each ordering key, since
-// it is told what stays here.
-func (h *Host) selectTransfer(capacity int64) (msgs, rest []*memory.Message) {
-	for i, m := range h.untransferred {
-		if capacity < transferOverheadBytes {
-			return msgs, append(rest, h.untransferred[i:]...) // nothing else fits
-		}
-		if h.table.Get(m.Number) != m || !transferable(m) {
-			continue
-		}
-		size := int64(m.BodySize() + transferOverheadBytes)
-		if size > capacity {
-			rest = append(rest, m)
-			continue
-		}
-		capacity -= size
-		msgs = append(msgs, m)
-	}
-	return msgs, rest
-}
-
-// transferPending writes a file for the next process with the messages that fit into capacity
-// bytes, if there is anything to report. The limit keeps the messages, which are still in this
-// process's directory as well, within the disk budget.
-func (h *Host) transferPending(send func([]byte) error, update *handover.Update, capacity int64) error {
-	msgs, rest := h.selectTransfer(capacity)
-	owed := h.remainingOrdered(msgs)
-	if len(msgs) == 0 && len(h.untransferredRetryAfters) == 0 && len(h.calls) == h.reportedInFlight &&
-		slices.Equal(owed, h.reportedOwed) {
-		return nil
-	}
-	update.RetryAfters, update.PendingOrdered = h.untransferredRetryAfters, owed
-	for cl := range h.calls {
-		update.InFlightCalls = append(update.InFlightCalls,
-			policy.InheritedCall{Endpoint: cl.endpoint.id, Age: h.now() - cl.startedAt})
-	}
-	if err := send(journal.EncodeTransfer(msgs, update.Encode(), h.dateScale)); err != nil {
-		h.log.Error("transfer to the next process failed; messages stay in the process directory",
-			"messages", len(msgs), "err", err)
-		return err
-	}
-	h.untransferredRetryAfters, h.reportedInFlight, h.reportedOwed, h.untransferred = nil, len(h.calls), owed, rest
-	for _, m := range msgs {
-		// The message is not complete, so its id must not count as that of a completed one.
-		h.remove(m, true)
-		h.table.ForgetCompleted(m.ID)
-	}
-	return nil
-}
-
-// Remaining counts the messages of a stopping process, its calls in flight, and the messages that
-// only its directory can pass on.
-func (h *Host) Remaining() (pending, inFlight, untransferable int) {
+// SetJournalShare sets the journal's disk budget in bytes while another process needs the rest, and
+// returns what the journal has and reserves.
+func (h *Host) SetJournalShare(budget int64) (committed int64) {
 	h.Do(func(h *Host) {
-		for _, m := range h.table.All() {
-			if m.Notification == nil && m.InFlight == nil && !m.Unanswered && !transferable(m) {
-				untransferable++
-			}
-		}
-		pending, inFlight = len(h.table.All()), len(h.calls)
+		h.journal.SetShare(budget)
+		h.journal.EnableReserve()
+		committed = h.journal.CommittedBytes()
 	})
-	return pending, inFlight, untransferable
+	return committed
 }
 
-// SetJournalShare sets the journal's disk budget, of total bytes shared with others' usage: all of
-// the rest if alone, else a part of it.
-func (h *Host) SetJournalShare(total, others int64, alone bool) {
+// SetUntoldJournalShare sets the journal's share beside a leaving process that does not tell its own.
+// others is what all other files take, of limit bytes.
+func (h *Host) SetUntoldJournalShare(limit, others int64) {
 	h.Do(func(h *Host) {
-		if alone {
-			h.journal.SetBudget(total - others)
-		} else {
-			h.journal.SetBudget(handover.JournalBudget(total, h.journal.UsedBytes(), others))
-		}
+		h.journal.SetShare(share.UntoldDisk(limit, h.journal.UsedBytes(), others))
+		h.journal.EnableReserve()
 	})
 }
 
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -10,6 +10,7 @@
 
 	"oatfold/internal/clock"
 	"oatfold/internal/handover"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/policy"
@@ -143,7 +144,7 @@
 		env.host.Do(func(h *Host) { m := h.table.ByID("held"); answered = m != nil && !m.Unanswered })
 		return answered
 	})
-	if err := env.host.HandOver(send, true, 1<<20); err != nil {
+	if err := env.handOver(send, true, 1<<20); err != nil {
 		t.Fatal(err)
 	}
 	mu.Lock()
@@ -157,14 +158,14 @@
 		t.Errorf("submitted after the handover: answered %d", got)
 	}
 	close(release)
-	env.host.TransferRemaining(transferOverheadBytes) // its body does not fit, so it waits
+	env.host.TransferRemaining(share.DiskUse{Limit: testDiskLimit, Spooled: testDiskLimit}, true) // no room
 	mu.Lock()
 	if len(transferred) != 1 {
 		t.Errorf("transferred without capacity: %v", transferred)
 	}
 	mu.Unlock()
 	waitFor(t, "the other messages", func() bool {
-		env.host.TransferRemaining(1 << 20)
+		env.transferRemaining()
 		mu.Lock()
 		defer mu.Unlock()
 		return len(transferred) == 3 && len(updates[len(updates)-1].InFlightCalls) == 0
@@ -266,7 +267,7 @@
 		h.journal.AppendTransferred(h.table, &memory.Message{Number: before, ID: "held", Class: "alert", Dest: 7,
 			Body: []byte("b"), Deadline: time.Now().Add(time.Minute)})
 	})
-	if err := env.host.HandOver(send, false, 0); err != nil {
+	if err := env.handOver(send, false, 0); err != nil {
 		t.Fatal(err)
 	}
 	close(release)
@@ -274,7 +275,7 @@
 		env.host.Do(func(h *Host) { ended = len(h.calls) == 0 })
 		return ended
 	})
-	env.host.TransferRemaining(1 << 20)
+	env.transferRemaining()
 	env.waitEmpty()
 	env.host.Do(func(*Host) {
 		if len(ids) != 2 || ids["out"] != 1 || ids["held"] != 1 {
@@ -287,7 +288,7 @@
 // which other files and other processes take their part.
 func TestReloadKeepsJournalShare(t *testing.T) {
 	env := startEnv(t, answerOK)
-	env.host.SetJournalShare(2<<20, 1<<20, true)
+	env.host.SetJournalBudget(1 << 20)
 	settings := env.host.settings
 	if err := env.host.Reload(HostConfig{Settings: settings, ConnectTimeout: time.Second, MaxIdleConns: 8},
 		env.platform.Listener.Addr().String()); err != nil {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -99,7 +99,7 @@
 	awaitListUntil            policy.Time            // the first step waits until then for the endpoint list
 	stepsBlockedUntil         policy.Time            // the first step after a policy restart waits until then
 	standby                   bool                   // another process of this relay runs the policy engine
-	sendToSuccessor           func([]byte) error     // writes a file for the next process; nil: no handover in progress
+	leavingProcess            *leavingProcess        // writes files for the next process; nil: no handover in progress
 	untransferred             []*memory.Message      // messages that are still to be transferred
 	untransferredRetryAfters  []handover.RetryAfter  // for the next process, or for this one's policy engine
 	reportedInFlight          int                    // calls in flight, as last reported to the next process
@@ -352,7 +352,7 @@
 			h.pendingEvents = nil // Activate reports everything to the policy engine
 		}
 		h.releaseHeld(h.sequencer.Ready())
-		if h.sendToSuccessor != nil {
+		if h.leavingProcess != nil {
 			h.untransferred, h.arrivals = append(h.untransferred, h.arrivals...), nil
 		}
 		now := h.now()
--- a/internal/wire/members_test.go
+++ b/internal/wire/members_test.go
@@ -104,7 +104,7 @@
 	join(previous)
 	previous.host.Do(func(h *Host) { h.gossiper.Members().RaiseAbove(6) })
 	var update *handover.Update
-	err := previous.host.HandOver(func(file []byte) error {
+	err := previous.handOver(func(file []byte) error {
 		_, text, err := journal.DecodeTransfer(file, clock.Scale{})
 		if err == nil {
 			update, err = handover.Decode(text)
--- a/internal/wire/ordering.go
+++ b/internal/wire/ordering.go
@@ -82,10 +82,10 @@
 // clients are answered, since a client may submit the next message of the ordering key there as
 // soon as it has the response.
 func (h *Host) announceOrdered() error {
-	if h.sendToSuccessor == nil || !slices.ContainsFunc(h.uncommittedReplies, acceptedOrdered) {
+	if h.leavingProcess == nil || !slices.ContainsFunc(h.uncommittedReplies, acceptedOrdered) {
 		return nil
 	}
-	err := h.transferPending(h.sendToSuccessor, &handover.Update{}, 0)
+	err := h.transferPending(h.leavingProcess, &handover.Update{}, 0)
 	if err == nil {
 		return nil
 	}
--- a/internal/wire/ordering_test.go
+++ b/internal/wire/ordering_test.go
@@ -119,7 +119,7 @@
 // handOver hands over from the old process to the new one.
 func (o *overlap) handOver() {
 	o.t.Helper()
-	if err := o.old.host.HandOver(o.transfer, false, 1<<20); err != nil {
+	if err := o.old.handOver(o.transfer, false, 1<<20); err != nil {
 		o.t.Fatal(err)
 	}
 	o.scanTransfers()
@@ -199,11 +199,11 @@
 			o.expectHeld("mark1", "b", "c")
 			release()
 			waitFor(t, "the old process to be empty", func() bool {
-				o.old.host.TransferRemaining(1 << 20)
+				o.old.transferRemaining()
 				pending, inFlight := o.old.host.Load()
 				return pending+inFlight == 0
 			})
-			o.old.host.TransferRemaining(1 << 20)
+			o.old.transferRemaining()
 			o.scanTransfers()
 			o.expectCalls(c.want...)
 		})
@@ -225,7 +225,7 @@
 	o.new.waitUntil("the call of a", func() bool { return slices.Contains(o.new.calls, "a") })
 	o.expectHeld("mark2", "c") // b is announced, but not transferred
 	o.waitAnswered(o.old, "b")
-	o.old.host.TransferRemaining(1 << 20)
+	o.old.transferRemaining()
 	o.scanTransfers()
 	o.expectCalls("a", "b", "c")
 }
@@ -250,7 +250,7 @@
 	}
 	o.waitAnswered(o.old, "c")
 	o.waitAnswered(o.old, "e")
-	o.old.host.TransferRemaining(1 << 20)
+	o.old.transferRemaining()
 	o.scanTransfers()
 	var got []string
 	o.new.host.Do(func(h *Host) {
@@ -319,7 +319,9 @@
 func TestUnannouncedMessageRejected(t *testing.T) {
 	o := startOverlap(t, func(http.ResponseWriter, string) {})
 	o.handOver()
-	o.old.host.Do(func(h *Host) { h.sendToSuccessor = func([]byte) error { return journal.ErrUnavailable } })
+	o.old.host.Do(func(h *Host) {
+		h.leavingProcess.write = func([]byte) error { return journal.ErrUnavailable }
+	})
 	if got := o.old.post(orderedRequest("a")); got != 503 && got != 429 {
 		t.Errorf("answered %d", got)
 	}
--- a/internal/wire/records_test.go
+++ b/internal/wire/records_test.go
@@ -46,7 +46,7 @@
 	var text bytes.Buffer
 	h := newTestHostOn(t, faultfs.New())
 	h.log = slog.New(slog.NewTextHandler(&text, &slog.HandlerOptions{Level: slog.LevelDebug}))
-	h.sendToSuccessor = func([]byte) error { return errors.New("spool is full") }
+	handOverTo(h, func([]byte) error { return errors.New("spool is full") })
 	answers := map[string]chan submitResult{}
 	for id, subject := range map[string]string{"plain": "", "ordered": "s"} {
 		m := &memory.Message{ID: id, Class: "alert", Dest: 7, Deadline: time.Now().Add(time.Hour), Body: []byte("b")}
--- a/internal/wire/retry_after.go
+++ b/internal/wire/retry_after.go
@@ -113,7 +113,7 @@
 		return
 	}
 	h.gossiper.RecordRetryAfter(h.now(), h.reportKeys.Key(ep.id, ep.dest), delay)
-	if h.sendToSuccessor != nil {
+	if h.leavingProcess != nil {
 		h.untransferredRetryAfters = append(h.untransferredRetryAfters,
 			handover.RetryAfter{Endpoint: ep.id, Dest: ep.dest, Until: h.dateAfter(delay)})
 	}
--- a/internal/wire/transfer_test.go
+++ b/internal/wire/transfer_test.go
@@ -8,6 +8,7 @@
 
 	"oatfold/internal/clock"
 	"oatfold/internal/handover"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/memory/journal"
 )
 
@@ -31,6 +32,33 @@
 	})
 }
 
+// testDiskLimit is the disk limit of the processes in tests.
+const testDiskLimit = 3_000_000
+
+// diskWith returns a use of the disk with which a process that begins to leave may pass on capacity
+// bytes at once; transfers of others take the rest.
+func diskWith(h *Host, capacity int64) share.DiskUse {
+	needed := h.journal.NeededBytes(testDiskLimit)
+	return share.DiskUse{Limit: testDiskLimit, Spooled: max(0, testDiskLimit-needed-4*capacity)}
+}
+
+// handOver hands over with transfers of up to capacity bytes at first.
+func (env *testEnv) handOver(send func([]byte) error, drained bool, capacity int64) error {
+	var use share.DiskUse
+	env.host.Do(func(h *Host) { use = diskWith(h, capacity) })
+	return env.host.HandOver(Handover{Send: send, ProcessDir: "life-1", Disk: use, Drained: drained})
+}
+
+// transferRemaining transfers what is left, with nothing in the spool.
+func (env *testEnv) transferRemaining() {
+	env.host.TransferRemaining(share.DiskUse{Limit: testDiskLimit}, true)
+}
+
+// handOverTo has a host without its event loop hand over.
+func handOverTo(h *Host, send func([]byte) error) {
+	h.leavingProcess = newLeaving(Handover{Send: send, Disk: diskWith(h, share.MaxTransferBytes)}, h.journal)
+}
+
 // transferRecorder collects what a host transfers.
 type transferRecorder struct {
 	ids     []string
@@ -62,10 +90,10 @@
 	env.submitWaiting("order", "large", strings.Repeat("x", maxBody), 9000)
 	env.submitWaiting("alert", "small", "b", 5000)
 	var transferred transferRecorder
-	if err := env.host.HandOver(transferred.send, false, handover.MaxTransferBytes(3<<20)); err != nil {
+	if err := env.handOver(transferred.send, false, share.MaxTransferBytes); err != nil {
 		t.Fatal(err)
 	}
-	env.host.TransferRemaining(handover.MaxTransferBytes(3 << 20))
+	env.transferRemaining()
 	env.host.Do(func(*Host) {
 		if !slices.Equal(transferred.ids, []string{"large", "small"}) {
 			t.Errorf("transferred %v", transferred.ids)
@@ -88,11 +116,11 @@
 	env.host.Do(func(h *Host) { h.table.ByID("large").OrderingKey = "k" })
 	const room = 10_000
 	var transferred transferRecorder
-	if err := env.host.HandOver(transferred.send, false, room); err != nil {
+	if err := env.handOver(transferred.send, false, room); err != nil {
 		t.Fatal(err)
 	}
 	env.submitWaiting("alert", "later", "b", 5000)
-	env.host.TransferRemaining(room)
+	env.host.Do(func(h *Host) { h.transferPending(h.leavingProcess, &handover.Update{}, room) })
 	env.host.Do(func(*Host) {
 		if !slices.Equal(transferred.ids, []string{"small", "later"}) ||
 			!slices.Equal(transferred.pending, []string{"large"}) {
--- a/internal/wire/unstepped_test.go
+++ b/internal/wire/unstepped_test.go
@@ -26,7 +26,7 @@
 	})
 	env.submitWaiting("alert", "waiting", "b", 500)
 	began := time.Now()
-	if err := env.host.HandOver(func([]byte) error { return nil }, false, 0); err != nil {
+	if err := env.handOver(func([]byte) error { return nil }, false, 0); err != nil {
 		t.Fatal(err)
 	}
 	env.submitWaiting("fee", "later", "b", 500)
