Refuse operators' orders in a process that leaves, and let the last order hold

Cause: a process took orders for as long as it had a server, also after it had passed its state on, and in a planned stop, which undoes them.

Change: only the process that serves and does not leave takes orders; others answer 503. The same for site out and in. A leaving process no longer writes the drain's mark. The new one records an inherited drain before it serves, and takes it out of the transfer that stays for a restart. What was passed on counts before the mark.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -79,15 +79,15 @@
 	case "/sites":
 		return respondView(c.Sites, noSitePlan)
 	case "/healthcheck/fail":
-		c.Log.Info("operator started draining")
 		if !c.SetDraining(true) {
 			return 503, nil
 		}
+		c.Log.Info("operator started draining")
 	case "/healthcheck/ok":
-		c.Log.Info("operator ended draining")
 		if !c.SetDraining(false) {
 			return 503, nil
 		}
+		c.Log.Info("operator ended draining")
 	}
 	return 200, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,11 +74,12 @@
 	reloadAgain       bool                    // another reload was requested meanwhile
 
 	takingOver       atomic.Bool // the previous process is still leaving
-	drainRecordMu    sync.Mutex  // guards the drain record in the state folder
 	stopping         atomic.Bool // a planned stop, which ends a drain
 	announcedDrain   bool        // the fleet knows that this relay is drained and empty
 	othersBytes      int64       // bytes of the state folder outside the own directory, as last seen
 	kept             keptShares  // what leaving processes keep of the limits
+	orders           *orders     // of the operators
+	inheritedDrain   *bool       // whether the process before was drained; nil: the state folder tells
 	cancelPluginLoad func()
 }
 
@@ -87,7 +88,7 @@
 // serves, it stands by until that one leaves.
 func Run(sources ConfigSources, log *slog.Logger) error {
 	r := &relay{sources: sources, log: log, terminate: make(chan os.Signal, 1), hangup: make(chan os.Signal, 1),
-		plugins: &plugin.Holder{}, metrics: &metrics.Set{}, cancelPluginLoad: func() {}}
+		plugins: &plugin.Holder{}, metrics: &metrics.Set{}, orders: newOrders(), cancelPluginLoad: func() {}}
 	signal.Notify(r.terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(r.hangup, syscall.SIGHUP)
 	traces := make(chan os.Signal, 1)
@@ -145,9 +146,10 @@
 	r.runUntilTerminated(ctx)
 	r.cancelPluginLoad()
 	stopTakeOver()
+	r.closeOrders()
 	if !r.handOver() {
 		r.stopping.Store(true)
-		go r.saveDrain() // the next start is not drained
+		go r.saveDrain(context.Background()) // the next start is not drained
 		stopPlanned(r.host, r.server.Load(), log)
 	}
 	stopHost()
@@ -284,7 +286,8 @@
 	server := wire.NewServer(ln, &r.config.Settings, clients, r.host.Events(), r.log)
 	server.SetPlugins(r.plugins)
 	server.SetMetrics(r.metrics)
-	if r.host.Activate() || r.stateDir.Drained() {
+	r.host.Activate()
+	if inherited := r.inheritedDrain; inherited != nil && *inherited || inherited == nil && r.stateDir.Drained() {
 		server.HandleDrainEvent(drain.HealthFail)
 	}
 	go server.Serve()
@@ -319,8 +322,7 @@
 	return stopTakeOver, nil
 }
 
-// adminCalls returns the handlers of the admin address. A drain request before the relay serves is
-// rejected.
+// adminCalls returns the handlers of the admin address.
 func (r *relay) adminCalls() admin.Handlers {
 	return admin.Handlers{Log: r.log, Stats: r.stats, Members: r.members, Choices: r.choices,
 		Sites: r.sites, SetSite: r.site,
@@ -328,17 +330,5 @@
 			server := r.server.Load()
 			return server != nil && server.Serving() || server == nil && r.standingBy.Load()
 		},
-		SetDraining: func(drained bool) bool {
-			server := r.server.Load()
-			if server == nil {
-				return false
-			}
-			event := drain.HealthOK
-			if drained {
-				event = drain.HealthFail
-			}
-			server.HandleDrainEvent(event)
-			go r.saveDrain()
-			return true
-		}}
+		SetDraining: r.setDraining}
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -184,31 +184,34 @@
 			s.log.Error("transfer not adopted", "file", name, "err", err)
 			continue
 		}
+		outdated := len(messages) > 0
+		if update.Drained != nil && s.inheritDrain(*update.Drained) == nil {
+			update.Drained, outdated = nil, true // a file that stays must not undo later orders
+		}
 		if !leaving {
 			// Its sender has ended, perhaps long ago.
 			update = &handover.Update{Numbering: update.Numbering, Incarnation: update.Incarnation}
 		}
 		s.kept.tell(sender, update.Kept)
-		hadMessages := len(messages) > 0
 		messages = s.withoutKnown(messages)
 		for _, m := range messages {
 			s.unadopted.addKnown(m.ID)
 		}
 		if s.waitCommitted(s.host.Adopt(wire.Transfer{Sender: sender, Messages: messages, Update: update})) {
-			s.keepLatestTransfer(name, sender, update, hadMessages)
+			s.keepLatestTransfer(name, sender, update, outdated)
 		}
 	}
 }
 
 // keepLatestTransfer removes a transfer that has been adopted. The latest one of each process stays
 // without its messages: if this process is killed, the next one has to know what is still pending
-// at the sender.
-func (s *successor) keepLatestTransfer(name, sender string, update *handover.Update, hadMessages bool) {
+// at the sender. outdated says that its file has more than update.
+func (s *successor) keepLatestTransfer(name, sender string, update *handover.Update, outdated bool) {
 	if previous, ok := s.latestTransfer[sender]; ok {
 		s.removeTransfer(previous)
 	}
 	s.latestTransfer[sender] = name
-	if !hadMessages {
+	if !outdated {
 		return
 	}
 	if err := s.stateDir.ReplaceTransfer(name,
--- a/internal/daemon/sites.go
+++ b/internal/daemon/sites.go
@@ -44,7 +44,7 @@
 
 // site submits an operator's command to take a site out or let it back in, without waiting for the
 // result. known is false if the plan has no such site; done is false if the command was not
-// submitted.
+// submitted, as in a process that does not serve or leaves.
 func (r *relay) site(zone string, out bool) (known, done bool) {
 	host := r.runningHost.Load()
 	if host == nil {
@@ -56,7 +56,9 @@
 	}
 	for _, s := range view.All {
 		if s.Zone == zone {
-			return true, host.SubmitSiteCommand(wire.SiteCommand{Zone: zone, Out: out})
+			return true, r.acceptOrder(func(*wire.Server) bool {
+				return host.SubmitSiteCommand(wire.SiteCommand{Zone: zone, Out: out})
+			})
 		}
 	}
 	return false, false
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
@@ -34,17 +33,6 @@
 	r.host.SetLeaving(drained)
 }
 
-// saveDrain records in the state folder whether operators have drained the relay, so that a drain
-// survives a crash. It waits for the disk, so it runs on a goroutine of its own. It records the
-// state at the time of the write, so concurrent calls may run in any order.
-func (r *relay) saveDrain() {
-	r.drainRecordMu.Lock()
-	defer r.drainRecordMu.Unlock()
-	server := r.server.Load()
-	r.retryUntilDone(context.Background(), "drain state can't be saved; a crash would undo the last change",
-		func() error { return r.stateDir.SetDrained(server.Drained() && !r.stopping.Load()) })
-}
-
 // stopPlanned serves for drain.StopAcceptGrace, closes the listener, and waits for pending messages
 // and client connections, at most until exitAfter. What is still pending stays in the journal.
 func stopPlanned(host *wire.Host, server *wire.Server, log *slog.Logger) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -21,7 +21,7 @@
 	OwnedIDs      []string               `json:"known,omitempty"`   // ids of accepted messages in flight at the sender
 	LearnedState  *policy.LearnedState   `json:"learned,omitempty"` // what its policy engine has learned
 	EndpointList  *EndpointList          `json:"list,omitempty"`
-	Drained       bool                   `json:"drained,omitempty"`     // operators have drained the relay
+	Drained       *bool                  `json:"drained,omitempty"`     // operators have drained the relay; nil: not told
 	Incarnation   uint32                 `json:"incarnation,omitempty"` // in the fleet; 0: members are not tracked
 
 	Kept *share.Kept `json:"kept,omitempty"` // what the sender keeps of the limits; nil: an earlier version
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -127,7 +127,6 @@
 			h.ownedElsewhere[id] = struct{}{}
 		}
 	}
-	h.inheritedDrain = h.inheritedDrain || update.Drained
 	h.raiseIncarnationAbove(update.Incarnation)
 	h.applyBackoffs(update.RetryAfters)
 	if h.standby {
@@ -168,9 +167,8 @@
 	h.pendingEvents = append(h.pendingEvents, policy.TimerFired{})
 }
 
-// Activate starts the policy steps of a standby host. It reports whether the operators had drained
-// the relay.
-func (h *Host) Activate() (drained bool) {
+// Activate starts the policy steps of a standby host.
+func (h *Host) Activate() {
 	h.Do(func(h *Host) {
 		var list []policy.Endpoint
 		for _, ep := range h.endpoints {
@@ -183,12 +181,11 @@
 		}
 		h.relay.ImportState(h.now(), list, h.inheritedState)
 		h.relay.SetInheritedCalls(h.now(), h.inheritedCalls)
-		h.standby, h.stepsStopped, drained = false, false, h.inheritedDrain
+		h.standby, h.stepsStopped = false, false
 		h.applyBackoffs(h.untransferredRetryAfters)
 		h.inheritedState, h.untransferredRetryAfters = policy.LearnedState{}, nil
 		h.pendingEvents = append(h.pendingEvents, policy.TimerFired{})
 	})
-	return drained
 }
 
 // SetJournalBudget sets the journal's disk budget, in bytes.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -105,7 +105,6 @@
 	reportedInFlight          int                    // calls in flight, as last reported to the next process
 	inheritedCalls            []policy.InheritedCall // calls that the previous process still has in flight
 	inheritedState            policy.LearnedState    // from the previous process, until Activate
-	inheritedDrain            bool                   // the operators drained the previous process
 	leaving                   bool                   // the fleet is told that this relay leaves or is drained
 	inheritedIncarnation      uint32                 // of the previous process in the fleet; 0: unknown
 	ownedElsewhere            map[string]struct{}    // ids of messages that the previous process accepted and keeps
--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -32,7 +32,7 @@
 			h.endUnsentCall(cl) // its messages are transferred
 		}
 		state, numbers := h.relay.ExportState(h.now()), h.table.NewSharedNumbering()
-		update := &handover.Update{Drained: handOver.Drained, LearnedState: &state, Incarnation: h.incarnation(),
+		update := &handover.Update{Drained: &handOver.Drained, LearnedState: &state, Incarnation: h.incarnation(),
 			EndpointList: &handover.EndpointList{Generation: h.listGeneration},
 			Numbering:    &numbers}
 		for _, ep := range h.endpoints {
