Have SIGHUP count for all processes of the relay in an upgrade

Cause: only the process that got SIGHUP reloaded. The standby kept what it had read at its start, and nothing told it.

Change: whoever gets SIGHUP marks the state folder (an empty file, reload-N, renamed to the next number) and reloads; the other processes follow the mark. A process that hands over passes SIGHUP on by the mark. A process that finds others running reads its configuration again after it has noted the mark. The configuration in force is behind an atomic pointer, since the takeover's goroutine reads it as well.

Tests of daemon, cmd, wire, plugin, handover and testdouble pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,10 @@
 // standbyCheckInterval is the time between two checks for standby processes.
 const standbyCheckInterval = time.Second
 
+// reloadCheckInterval is the time between two checks of a standby process for a reload that the
+// serving one was told to make.
+const reloadCheckInterval = 100 * time.Millisecond
+
 // descriptorLimits returns how many client connections and how many idle connections to endpoints
 // the relay may have. It divides the file descriptors that remain besides the process's own files,
 // one for each concurrent call, and connections that are still read after the end of their call.
@@ -53,7 +57,7 @@
 // relay is one process of a relay.
 type relay struct {
 	sources ConfigSources
-	config  *config.Config
+	current atomic.Pointer[config.Config] // see configuration
 	log     *slog.Logger
 	// Separate channels, so that pending reloads never displace a stop. A pending signal stands for
 	// all further ones of its kind.
@@ -72,6 +76,8 @@
 	pluginLoad        <-chan pluginLoadResult // plug-ins of a reload
 	configRead        <-chan configReadResult // configuration of a reload; nil: none is being read
 	reloadAgain       bool                    // another reload was requested meanwhile
+	reloadMark        int64                   // in the state folder, as last seen
+	reloadUnmarked    bool                    // the state folder does not tell the latest reload yet
 
 	takingOver       atomic.Bool // the previous process is still leaving
 	stopping         atomic.Bool // a planned stop, which ends a drain
@@ -110,6 +116,7 @@
 	if err != nil {
 		return r.startFailed(err)
 	}
+	options = r.watchReloads(active, options)
 	messages, err := r.openJournal(active, options.bodyBytes)
 	if err != nil {
 		return r.startFailed(err)
@@ -169,7 +176,7 @@
 // process is told to stop.
 func (r *relay) runUntilTerminated(ctx context.Context) {
 	var standbyCheck <-chan time.Time // nil without operators, since then nobody starts a standby
-	if r.config.AdminAddr != "" {
+	if r.configuration().AdminAddr != "" {
 		ticker := time.NewTicker(standbyCheckInterval)
 		defer ticker.Stop()
 		standbyCheck = ticker.C
@@ -179,10 +186,11 @@
 		case <-r.terminate:
 			return
 		case <-r.hangup:
-			r.reload()
+			r.reloadOnRequest()
 		case result := <-r.configRead:
 			r.applyReload(ctx, result)
 		case <-standbyCheck:
+			r.followReload()
 			// Keeps the journal and the directory of a standby within the disk limit together.
 			if used := r.stateDir.UsedBytes(r.dir); used != r.othersBytes {
 				r.othersBytes = used
@@ -198,7 +206,7 @@
 
 // diskBytes returns what the journals of all processes may take: the disk limit less the folder's
 // small files.
-func (r *relay) diskBytes() int64 { return r.config.DiskBytes - config.SmallFileBytes }
+func (r *relay) diskBytes() int64 { return r.configuration().DiskBytes - config.SmallFileBytes }
 
 // updateJournalBudget sets the journal's budget after the disk limit or the use of the disk has
 // changed. A standby accepts no messages, and a takeover sets the budget itself.
@@ -218,6 +226,8 @@
 		stopAnnouncing()
 		<-announced // it must not overwrite a later status
 	}()
+	reloadCheck := time.NewTicker(reloadCheckInterval)
+	defer reloadCheck.Stop()
 	leaderLock := make(chan error, 1)
 	go func() { leaderLock <- r.retryStart("leader lock can't be waited for", r.stateDir.WaitLeaderLock) }()
 	for {
@@ -232,11 +242,14 @@
 				r.log.Warn("the current directory can't be recorded yet", "room", r.dir.Name, "err", err)
 				r.currentUnrecorded = true
 			}
+			r.followReload() // the result is applied as soon as it serves
 			return true, nil
 		case <-r.terminate:
 			return false, nil
 		case <-r.hangup:
-			r.reload()
+			r.reloadOnRequest()
+		case <-reloadCheck.C:
+			r.followReload()
 		case result := <-r.configRead:
 			r.applyReload(ctx, result)
 		case result := <-r.pluginLoad:
@@ -273,17 +286,17 @@
 	}
 	var ln net.Listener
 	err = r.retryStart("address can't be opened", func() (err error) {
-		ln, err = wire.Listen(r.config.ListenAddr)
+		ln, err = wire.Listen(r.configuration().ListenAddr)
 		return err
 	})
 	if err != nil {
 		return stopTakeOver, fmt.Errorf("listen: %w", err)
 	}
-	clients, _ := descriptorLimits(r.config)
+	clients, _ := descriptorLimits(r.configuration())
 	if predecessorLeaving {
 		clients = max(1, clients/2)
 	}
-	server := wire.NewServer(ln, &r.config.Settings, clients, r.host.Events(), r.log)
+	server := wire.NewServer(ln, &r.configuration().Settings, clients, r.host.Events(), r.log)
 	server.SetPlugins(r.plugins)
 	server.SetMetrics(r.metrics)
 	r.host.Activate()
@@ -307,13 +320,13 @@
 	if !r.stateDir.ClockMarkSaved() {
 		successor.keepStep("clock mark", r.stateDir.SaveClockMark)
 	}
-	r.log.Info("ready", "name", r.config.Name, "listen", r.config.ListenAddr, "discovery", r.config.DiscoveryAddr,
-		"slots", r.config.Settings.MaxConcurrentCalls, "held_most", r.config.Settings.MaxPending)
+	r.log.Info("ready", "name", r.configuration().Name, "listen", r.configuration().ListenAddr, "discovery", r.configuration().DiscoveryAddr,
+		"slots", r.configuration().Settings.MaxConcurrentCalls, "held_most", r.configuration().Settings.MaxPending)
 	if predecessorLeaving {
 		r.takingOver.Store(true)
 		takeOvers.Go(successor.takeOverUntilLast)
 	} else {
-		c := r.config // a reload may replace it meanwhile
+		c := r.configuration() // a reload may replace it meanwhile
 		takeOvers.Go(func() {
 			successor.joinFleet(c)
 			successor.finish()
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -109,9 +109,9 @@
 // takeOverUntilLast opens gossip and repeats takeOver until no other process is leaving. Until then
 // this process uses half of its idle connections to endpoints.
 func (s *successor) takeOverUntilLast() {
-	_, idle := descriptorLimits(s.config)
+	_, idle := descriptorLimits(s.configuration())
 	s.host.SetMaxIdleConns(idle / 2)
-	s.joinFleet(s.config)
+	s.joinFleet(s.configuration())
 	for s.takeOver() {
 		select {
 		case <-s.ctx.Done():
@@ -122,9 +122,9 @@
 	if s.ctx.Err() != nil {
 		return
 	}
-	clients, idle := descriptorLimits(s.config)
+	clients, idle := descriptorLimits(s.configuration())
 	s.host.SetMaxIdleConns(idle)
-	s.server.Load().Configure(&s.config.Settings, clients)
+	s.server.Load().Configure(&s.configuration().Settings, clients)
 	s.takingOver.Store(false)
 	s.log.Info("the process before has left, all is taken over")
 	s.finish()
@@ -269,6 +269,7 @@
 	server.HandleDrainEvent(drain.HandOver)
 	progress, listenerClosed, readsStopped := handover.Progress{}, false, false
 	for {
+		r.passOnReload()
 		r.host.TransferRemaining(r.diskUse(), r.stateDir.OwnTransfers() < maxPendingTransfers)
 		// Read in this order: once the listener is closed, no connection is added.
 		progress.Listening = server.Accepting()
@@ -294,3 +295,16 @@
 		time.Sleep(handOverInterval)
 	}
 }
+
+// passOnReload has the next process reload if this one was told to while it hands over. Its own
+// configuration stays: it is about to end.
+func (r *relay) passOnReload() {
+	select {
+	case <-r.hangup:
+		r.reloadUnmarked = true
+	default:
+	}
+	if r.reloadUnmarked {
+		r.markReload()
+	}
+}
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -48,8 +48,8 @@
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() { host.Run(stop); close(done) }()
 	t.Cleanup(func() { close(stop); <-done; messageJournal.Close(); stateDir.Release(processDir, false) })
-	r := &relay{stateDir: stateDir, dir: processDir, host: host, log: log, config: &config.Config{DiskBytes: 1 << 20},
-		orders: newOrders()}
+	r := &relay{stateDir: stateDir, dir: processDir, host: host, log: log, orders: newOrders()}
+	r.current.Store(&config.Config{DiskBytes: 1 << 20})
 	return newSuccessor(context.Background(), r)
 }
 
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -66,12 +66,46 @@
 	return pluginLoadResult{set: set, sites: operatorConfig.Sites}, err
 }
 
+// configuration returns the platform's configuration that is in force.
+func (r *relay) configuration() *config.Config { return r.current.Load() }
+
 // configReadResult is the result of reading the platform's configuration.
 type configReadResult struct {
 	config *config.Config
 	err    error
 }
 
+// reloadOnRequest reloads after SIGHUP, and tells the other processes of the relay to do the same: in an
+// upgrade one of them may have read the old configuration, and it may be the one that serves next.
+func (r *relay) reloadOnRequest() {
+	r.markReload() // first, so that whoever sees the mark reads a file that is at least as recent
+	r.reload()
+}
+
+// markReload tells the other processes of the relay that the configuration is to be reloaded.
+func (r *relay) markReload() {
+	mark, err := r.stateDir.MarkReload()
+	if r.reloadUnmarked = err != nil; err != nil {
+		r.log.Warn("another process of this relay can't be told to reload now, retrying", "err", err)
+		return
+	}
+	r.reloadMark = mark
+}
+
+// followReload reloads if another process of the relay was told to since the last call.
+func (r *relay) followReload() {
+	if r.reloadUnmarked {
+		r.markReload()
+	}
+	mark, err := r.stateDir.ReloadMark()
+	if err != nil || mark == r.reloadMark {
+		return
+	}
+	r.reloadMark = mark
+	r.log.Info("another process of this relay was told to reload")
+	r.reload()
+}
+
 // reload starts reading the platform's configuration in the background, since reading a file may
 // hang and must not delay a stop. If a read is in progress, another one follows it.
 func (r *relay) reload() {
@@ -97,7 +131,7 @@
 // applyReload applies a configuration that was read, and starts loading the operator's file.
 func (r *relay) applyReload(ctx context.Context, result configReadResult) {
 	r.configRead = nil
-	r.config = applyConfig(r.config, result, r.host, r.server.Load(), r.log)
+	r.current.Store(applyConfig(r.configuration(), result, r.host, r.server.Load(), r.log))
 	r.updateJournalBudget()
 	if r.reloadAgain {
 		r.reloadAgain = false
@@ -107,7 +141,7 @@
 	go discardPluginLoad(r.pluginLoad)
 	var loadCtx context.Context
 	loadCtx, r.cancelPluginLoad = context.WithCancel(ctx)
-	r.pluginLoad = r.sources.loadPlugins(loadCtx, r.config, r.log)
+	r.pluginLoad = r.sources.loadPlugins(loadCtx, r.configuration(), r.log)
 }
 
 // discardPluginLoad waits for a load that is no longer needed and releases its plug-ins.
--- a/internal/daemon/sites.go
+++ b/internal/daemon/sites.go
@@ -66,8 +66,8 @@
 
 // home returns the name of this relay's zone; "" if unknown.
 func (r *relay) home() string {
-	if r.config.Zone >= 0 && r.config.Zone < len(r.config.ZoneNames) {
-		return r.config.ZoneNames[r.config.Zone]
+	if r.configuration().Zone >= 0 && r.configuration().Zone < len(r.configuration().ZoneNames) {
+		return r.configuration().ZoneNames[r.configuration().Zone]
 	}
 	return ""
 }
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 
 	"oatfold/internal/admin"
+	"oatfold/internal/daemon/config"
 	"oatfold/internal/daemon/config/operator"
 	"oatfold/internal/handover/processdir"
 	"oatfold/internal/handover/share"
@@ -25,26 +26,32 @@
 
 // loadConfig reads the platform's configuration and applies its memory limit.
 func (r *relay) loadConfig() error {
+	var c *config.Config
 	err := r.retryStart("configuration can't be read", func() (err error) {
-		r.config, err = r.sources.LoadPlatform()
+		c, err = r.sources.LoadPlatform()
 		return err
 	})
-	if err != nil {
-		return err
+	if err == nil {
+		r.useConfig(c)
 	}
-	r.zoneNames = r.config.ZoneNames
-	debug.SetMemoryLimit(memoryTarget(r.config))
-	return nil
+	return err
+}
+
+// useConfig puts a configuration in force before the host runs.
+func (r *relay) useConfig(c *config.Config) {
+	r.current.Store(c)
+	r.zoneNames = c.ZoneNames
+	debug.SetMemoryLimit(memoryTarget(c))
 }
 
 // openAdmin serves the operators' address, if there is one, until the returned function is called.
 func (r *relay) openAdmin() (closeAdmin func(), err error) {
-	if r.config.AdminAddr == "" {
+	if r.configuration().AdminAddr == "" {
 		return func() {}, nil
 	}
 	var ln net.Listener
 	err = r.retryStart("admin address can't be opened", func() (err error) {
-		ln, err = net.Listen("tcp", r.config.AdminAddr)
+		ln, err = net.Listen("tcp", r.configuration().AdminAddr)
 		return err
 	})
 	if err != nil {
@@ -62,13 +69,13 @@
 
 // loadOperator reads the operator's file, if there is one.
 func (r *relay) loadOperator() (startOptions, error) {
-	options := startOptions{bodyBytes: r.config.MemoryBytes / bodyMemoryDivisor}
+	options := startOptions{bodyBytes: r.configuration().MemoryBytes / bodyMemoryDivisor}
 	if r.sources.LoadOperator == nil {
 		return options, nil
 	}
 	var file *operator.Config
 	err := r.retryStart("operator's file can't be read", func() (err error) {
-		file, err = r.sources.LoadOperator(r.config)
+		file, err = r.sources.LoadOperator(r.configuration())
 		return err
 	})
 	if err != nil {
@@ -81,18 +88,46 @@
 	return options, nil
 }
 
+// watchReloads follows the reloads of other processes from now on. If there are any, it reads the
+// configuration sources once more, which may have changed since this process read them. If they can't
+// be read, the first result stays.
+func (r *relay) watchReloads(active bool, options startOptions) startOptions {
+	mark, err := r.stateDir.ReloadMark()
+	if err != nil {
+		r.log.Warn("the state folder's reload mark can't be read", "err", err)
+	}
+	if r.reloadMark = mark; active && !r.leftByOthers() {
+		return options
+	}
+	before := r.configuration()
+	c, err := r.sources.LoadPlatform()
+	if err != nil {
+		r.log.Warn("configuration can't be read again; the first one stays", "err", err)
+		return options
+	}
+	c.AdminAddr, c.ListenAddr, c.StateDir = before.AdminAddr, before.ListenAddr, before.StateDir
+	r.useConfig(c)
+	again, err := r.loadOperator()
+	if err != nil {
+		r.log.Warn("operator's file can't be read again; the first one stays", "err", err)
+		r.useConfig(before)
+		return options
+	}
+	return again
+}
+
 // openStateDir opens the state folder and locks a process directory. It reports whether this
 // process holds the leader lock; otherwise it is a standby.
 func (r *relay) openStateDir() (active bool, err error) {
 	// A process of an earlier version holds no leader lock but has the address: its journal must
 	// not be opened.
 	if err := r.retryStart("address can't be checked", func() error {
-		return wire.CheckAddress(r.config.ListenAddr)
+		return wire.CheckAddress(r.configuration().ListenAddr)
 	}); err != nil {
 		return false, fmt.Errorf("listen: %w", err)
 	}
 	for _, step := range []func() error{
-		func() (err error) { r.stateDir, err = processdir.Open(r.config.StateDir, r.log); return err },
+		func() (err error) { r.stateDir, err = processdir.Open(r.configuration().StateDir, r.log); return err },
 		func() (err error) { active, err = r.stateDir.TryLeaderLock(); return err },
 		func() (err error) { r.dir, err = r.stateDir.OpenOwn(active); return err },
 		func() error {
@@ -133,7 +168,7 @@
 // loadPlugins loads the plug-ins and reports whether the start goes on: not if the operator's file
 // is wrong, or if this process is told to stop meanwhile.
 func (r *relay) loadPlugins(ctx context.Context) (loaded bool, err error) {
-	load := r.sources.loadPlugins(ctx, r.config, r.log)
+	load := r.sources.loadPlugins(ctx, r.configuration(), r.log)
 	if load == nil {
 		return true, nil
 	}
@@ -155,15 +190,15 @@
 
 // startHostConfig returns the configuration of the host. An active process opens gossip for it.
 func (r *relay) startHostConfig(active bool, options startOptions, messages openedJournal) wire.HostConfig {
-	settings := hostConfig(r.config)
+	settings := hostConfig(r.configuration())
 	settings.ZoneNames, settings.HomeZone, settings.Sites = r.zoneNames, r.home(), options.sitePlan
 	settings.Plugins, settings.Metrics, settings.Log = r.plugins, r.metrics, r.log
 	settings.Table, settings.Journal = messages.table, messages.journal
 	settings.DateScale = r.stateDir.TimeScale()
 	settings.Standby = !active || r.leftByOthers()
 	if active {
-		if r.listenGossip(r.config); r.gossip != nil {
-			settings.GossipSocket, settings.Identity = r.gossip, fleetIdentity(r.config)
+		if r.listenGossip(r.configuration()); r.gossip != nil {
+			settings.GossipSocket, settings.Identity = r.gossip, fleetIdentity(r.configuration())
 		}
 	}
 	return settings
@@ -175,7 +210,7 @@
 		return nil, err
 	}
 	r.runningHost.Store(r.host)
-	r.host.StartPlatformClient(r.config.DiscoveryAddr)
+	r.host.StartPlatformClient(r.configuration().DiscoveryAddr)
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() { r.host.Run(stop); close(done) }()
 	return func() { close(stop); <-done }, nil
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -126,9 +126,9 @@
 		t.Fatal(err)
 	}
 	h := startSuccessor(t, t.TempDir())
-	h.config.PeerListenAddr = taken.LocalAddr().String()
-	h.config.PeerAddrs = []string{h.config.PeerListenAddr, "127.0.0.1:9"}
-	h.joinFleet(h.config)
+	h.configuration().PeerListenAddr = taken.LocalAddr().String()
+	h.configuration().PeerAddrs = []string{h.configuration().PeerListenAddr, "127.0.0.1:9"}
+	h.joinFleet(h.configuration())
 	if h.gossip != nil || h.runSteps() {
 		t.Fatal("opened an address that is taken")
 	}
@@ -149,7 +149,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	server := wire.NewServer(ln, &h.config.Settings, 1, h.host.Events(), h.log)
+	server := wire.NewServer(ln, &h.configuration().Settings, 1, h.host.Events(), h.log)
 	server.HandleDrainEvent(drain.HealthFail)
 	h.server.Store(server)
 	mark := filepath.Join(dir, "drained")
--- a/internal/handover/processdir/processdir_test.go
+++ b/internal/handover/processdir/processdir_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -221,3 +222,40 @@
 		t.Error("the next process has no mark")
 	}
 }
+
+// The mark of reloads grows with each one, whichever process sets it, and survives them.
+func TestReloadMark(t *testing.T) {
+	dir := t.TempDir()
+	var processes []*StateDir
+	for range 2 {
+		stateDir, err := Open(dir, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		processes = append(processes, stateDir)
+	}
+	if mark, err := processes[0].ReloadMark(); mark != 0 || err != nil {
+		t.Errorf("mark %d, %v before any reload", mark, err)
+	}
+	const each = 50
+	var marking sync.WaitGroup
+	var mu sync.Mutex
+	seen := map[int64]int{}
+	for _, process := range processes {
+		marking.Go(func() {
+			for range each {
+				mark, err := process.MarkReload()
+				if err != nil {
+					t.Error(err)
+				}
+				mu.Lock()
+				seen[mark]++
+				mu.Unlock()
+			}
+		})
+	}
+	marking.Wait()
+	if mark, err := processes[1].ReloadMark(); mark != 2*each || err != nil || len(seen) != 2*each {
+		t.Errorf("mark %d of %d, %d different ones, %v", mark, 2*each, len(seen), err)
+	}
+}
--- a/internal/testdouble/relay.go
+++ b/internal/testdouble/relay.go
@@ -120,6 +120,27 @@
 	return os.WriteFile(r.config, r.env.configJSON(filepath.Base(r.StateDir), r.Addr, r.fleet), 0o600)
 }
 
+// MoveDiscovery writes the configuration file with another address of discovery. Processes read it at
+// their start and after SIGHUP.
+func (r *Relay) MoveDiscovery(addr string) error {
+	content, err := os.ReadFile(r.config)
+	if err != nil {
+		return err
+	}
+	var config map[string]any
+	if err := json.Unmarshal(content, &config); err != nil {
+		return err
+	}
+	config["discovery"] = addr
+	if content, err = json.Marshal(config); err != nil {
+		return err
+	}
+	return os.WriteFile(r.config, content, 0o600)
+}
+
+// SpoilConfig writes a configuration file that no process can read.
+func (r *Relay) SpoilConfig() error { return os.WriteFile(r.config, []byte("{"), 0o600) }
+
 // configJSON returns the contents of the configuration file of a relay; fleet may be nil.
 func (env *Environment) configJSON(name, listen string, fleet *FleetConfig) []byte {
 	type object = map[string]any
