Never close the queue of the gossip socket, which the host may still send on

Cause: Close closed the queue as well, while the host's loop still answers what was received before.

Change: the socket's end is a channel of its own. What is queued behind it is dropped, Close may come twice, and the loop that receives no longer waits for a host that takes no events.

--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"oatfold/internal/peers"
@@ -26,15 +27,17 @@
 
 // GossipSocket exchanges datagrams with the other relays. They may be lost, late or malformed.
 type GossipSocket struct {
-	sock  *net.UDPConn
-	peers []netip.AddrPort
-	queue chan members.Datagram
-	log   *slog.Logger
+	sock      *net.UDPConn
+	peers     []netip.AddrPort
+	queue     chan members.Datagram // never closed: the host may still send while the socket closes
+	closed    chan struct{}
+	closeOnce sync.Once
+	log       *slog.Logger
 }
 
 // ListenGossip opens the socket at listen. addrs holds the address of each relay, by number.
 func ListenGossip(listen string, addrs []string, log *slog.Logger) (*GossipSocket, error) {
-	s := &GossipSocket{queue: make(chan members.Datagram, gossipQueueSize), log: log}
+	s := &GossipSocket{queue: make(chan members.Datagram, gossipQueueSize), closed: make(chan struct{}), log: log}
 	for _, addr := range addrs {
 		peer, err := netip.ParseAddrPort(addr)
 		if err != nil {
@@ -52,8 +55,14 @@
 	return s, nil
 }
 
-// Close closes the socket and the queue, which ends receiveLoop and sendLoop.
-func (s *GossipSocket) Close() { s.sock.Close(); close(s.queue) }
+// Close closes the socket, which ends receiveLoop and sendLoop. Messages that are queued from then on
+// are dropped. It may be called more than once, and while others use the socket.
+func (s *GossipSocket) Close() {
+	s.closeOnce.Do(func() {
+		s.sock.Close()
+		close(s.closed)
+	})
+}
 
 // receiveLoop reports received datagrams until the socket is closed. It ignores senders that the
 // configuration does not name.
@@ -79,22 +88,36 @@
 			s.log.Debug("gossip of an unknown sender or of excessive size ignored", "from", from, "bytes", size)
 			continue
 		}
-		events <- gossipReceived{number, append([]byte(nil), buf[:size]...)}
+		select {
+		case events <- gossipReceived{number, append([]byte(nil), buf[:size]...)}:
+		case <-s.closed:
+			return
+		}
 	}
 }
 
 // sendLoop writes queued messages. It has a goroutine of its own, since the host never waits for a
 // socket.
 func (s *GossipSocket) sendLoop() {
-	for message := range s.queue {
-		if _, err := s.sock.WriteToUDPAddrPort(message.Payload, s.peers[message.To]); err != nil {
-			s.log.Debug("gossip write failed", "to", message.To, "err", err)
+	for {
+		select {
+		case <-s.closed:
+			return
+		case message := <-s.queue:
+			if _, err := s.sock.WriteToUDPAddrPort(message.Payload, s.peers[message.To]); err != nil {
+				s.log.Debug("gossip write failed", "to", message.To, "err", err)
+			}
 		}
 	}
 }
 
-// enqueue queues a message, or drops it if the queue is full.
+// enqueue queues a message, or drops it if the queue is full or the socket is closed.
 func (s *GossipSocket) enqueue(message members.Datagram) {
+	select {
+	case <-s.closed:
+		return
+	default:
+	}
 	select {
 	case s.queue <- message:
 	default:
--- a/internal/wire/gossip_test.go
+++ b/internal/wire/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,15 +13,7 @@
 // Gossip reaches the relays that it is addressed to. Unknown senders and oversized datagrams are
 // ignored.
 func TestGossipSocket(t *testing.T) {
-	free := func() string {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	all := []string{free(), free(), free()}
+	all := []string{reserveUDPAddr(t), reserveUDPAddr(t), reserveUDPAddr(t)}
 	var sockets []*GossipSocket
 	var received []chan any
 	for _, at := range all {
@@ -68,3 +61,68 @@
 		}
 	}
 }
+
+// Guards against a panic of a process that hands over: a ping that was received before its socket
+// closed is answered afterwards, on a queue that was closed as well. Relays close and send at once.
+func TestGossipAfterClose(t *testing.T) {
+	addrs := []string{reserveUDPAddr(t), reserveUDPAddr(t)}
+	for range 200 {
+		socket, err := ListenGossip(addrs[0], addrs, discardLog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		events := make(chan any)
+		var loops sync.WaitGroup
+		loops.Go(func() { socket.receiveLoop(events) })
+		loops.Go(socket.sendLoop)
+		loops.Go(func() {
+			for range 2 * gossipQueueSize {
+				socket.enqueue(members.Datagram{To: 1, Payload: []byte("pong")})
+			}
+		})
+		loops.Go(socket.Close)
+		socket.Close()
+		loops.Wait()
+		socket.enqueue(members.Datagram{To: 1, Payload: []byte("pong")})
+	}
+}
+
+// A process that ends does not wait for a host that takes no more events: the loop that receives ends
+// with its socket.
+func TestGossipReceiveLoopEnds(t *testing.T) {
+	addrs := []string{reserveUDPAddr(t), reserveUDPAddr(t)}
+	receiver, err := ListenGossip(addrs[0], addrs, discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sender, err := ListenGossip(addrs[1], addrs, discardLog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	go sender.sendLoop()
+	sender.enqueue(members.Datagram{To: 0, Payload: []byte("ping")})
+	ended := make(chan struct{})
+	go func() {
+		receiver.receiveLoop(make(chan any)) // nobody reads it
+		close(ended)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	receiver.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the loop goes on")
+	}
+}
+
+// reserveUDPAddr returns an address at which nobody listens.
+func reserveUDPAddr(t *testing.T) string {
+	t.Helper()
+	sock, err := net.ListenPacket("udp4", net.JoinHostPort(ownLoopback(), "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sock.Close()
+	return sock.LocalAddr().String()
+}
