Read a call's messages in place, which a handover marks at the same time

What was seen: the race detector reports that HandOver writes to the messages of calls in flight while their connections copy them. Nothing follows from it as far as seen.

Cause: appendRequest searched with slices.IndexFunc, which copies each item whole, also the two fields that belong to the host.

Change: the search reads in place; the host's fields are named as such.

Evidence: TestHandOverWhileRequestIsWritten under go test -race: reported before, clean now; wire as a whole is clean.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -35,8 +34,10 @@
 	writeBy       time.Time                // latest time to write it; zero: no limit
 	tooLate       bool                     // too little time left, or no body for now: excluded from the call
 	expiry        *index.Entry[itemExpiry] // timer for expiresAt, if the call may last longer
-	reported      bool                     // its result was reported to the policy engine
-	resubmit      bool                     // the policy engine restarted: submit the message to it again
+
+	// Of the host alone, which changes them while the connection reads the rest: no item is copied.
+	reported bool // its result was reported to the policy engine
+	resubmit bool // the policy engine restarted: submit the message to it again
 }
 
 // pluginFailure says how to complete a message that failed before it was sent.
@@ -200,12 +201,22 @@
 	return in.Wait
 }
 
+// firstIncluded returns the first item that is not excluded. There must be one.
+func (cl *call) firstIncluded() *callItem {
+	for i := range cl.items {
+		if it := &cl.items[i]; !it.excluded() {
+			return it
+		}
+	}
+	panic("a call without messages is not written")
+}
+
 // appendRequest appends the HTTP request of the call: one message as it is, several as a JSON
 // array. timeLeft is how long the relay waits for the answer.
 func appendRequest(b []byte, cl *call, timeLeft time.Duration) []byte {
 	timeLeftMs := strconv.FormatInt(max(1, timeLeft.Milliseconds()), 10)
 	if cl.includedCount() == 1 {
-		it := &cl.items[slices.IndexFunc(cl.items, func(it callItem) bool { return !it.excluded() })]
+		it := cl.firstIncluded()
 		b = append(b, "POST /hook HTTP/1.1\r\n"...)
 		b = appendField(appendConnectionFields(b, cl), "X-Correlation-Id", it.id)
 		if it.key != "" {
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -298,3 +299,24 @@
 		}
 	})
 }
+
+// Guards against a data race that the race detector reports: a process that hands over marks the
+// messages of its calls while their connections write the requests.
+func TestHandOverWhileRequestIsWritten(t *testing.T) {
+	env := startEnv(t, answerOK)
+	cl := &call{endpoint: &endpoint{id: "s-1"}, items: []callItem{{id: "a", tooLate: true}, {id: "b", body: []byte("body")}}}
+	env.host.Do(func(h *Host) { h.calls[cl] = struct{}{} })
+	var writing sync.WaitGroup
+	writing.Go(func() {
+		for range 100 {
+			if request := string(appendRequest(nil, cl, time.Second)); !strings.Contains(request, "X-Correlation-Id: b\r\n") {
+				t.Errorf("request %q", request)
+			}
+		}
+	})
+	if err := env.handOver(func([]byte) error { return nil }, false, 0); err != nil {
+		t.Fatal(err)
+	}
+	writing.Wait()
+	env.host.Do(func(h *Host) { delete(h.calls, cl) })
+}
