Pass on in an upgrade which sites operators have taken out

Cause: the command lived in the old process's memory, and was no part of what it passes on.

Change: the first transfer names the sites that are out, commands that still wait included; the next process takes them out before it serves. The transfer that stays for a restart no longer has them, so that it undoes no later command.

Evidence: TestSiteStaysOutInUpgrade fails without the line that takes them out, and passes with it; the site tests pass.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -186,7 +186,7 @@
 		}
 		outdated := len(messages) > 0
 		if update.Drained != nil && s.inheritDrain(*update.Drained) == nil {
-			update.Drained, outdated = nil, true // a file that stays must not undo later orders
+			update.Drained, outdated = nil, true // a file that stays must not undo a later order
 		}
 		if !leaving {
 			// Its sender has ended, perhaps long ago.
@@ -198,6 +198,9 @@
 			s.unadopted.addKnown(m.ID)
 		}
 		if s.waitCommitted(s.host.Adopt(wire.Transfer{Sender: sender, Messages: messages, Update: update})) {
+			if len(update.SitesOut) > 0 {
+				update.SitesOut, outdated = nil, true // nor a later command
+			}
 			s.keepLatestTransfer(name, sender, update, outdated)
 		}
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -24,6 +24,8 @@
 	Drained       *bool                  `json:"drained,omitempty"`     // operators have drained the relay; nil: not told
 	Incarnation   uint32                 `json:"incarnation,omitempty"` // in the fleet; 0: members are not tracked
 
+	SitesOut []string `json:"sites_out,omitempty"` // zones that operators have taken out
+
 	Kept *share.Kept `json:"kept,omitempty"` // what the sender keeps of the limits; nil: an earlier version
 
 	PendingOrdered []sequence.Message      `json:"owes,omitempty"`    // pending messages of ordered classes
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -127,6 +127,7 @@
 			h.ownedElsewhere[id] = struct{}{}
 		}
 	}
+	h.takeSitesOut(update.SitesOut)
 	h.raiseIncarnationAbove(update.Incarnation)
 	h.applyBackoffs(update.RetryAfters)
 	if h.standby {
--- a/internal/wire/sites.go
+++ b/internal/wire/sites.go
@@ -52,11 +52,7 @@
 	}
 	h.siteWatch.ApplyEndpointList(list)
 	if previous != nil {
-		for _, site := range previous.Statuses() {
-			if site.ManuallyOut {
-				h.siteWatch.SetManuallyOut(h.now(), site.Zone, true)
-			}
-		}
+		h.takeSitesOut(manuallyOut(previous))
 	}
 	h.pendingEvents = append(h.pendingEvents, policy.SitesUpdate{Plan: h.siteWatch})
 	h.membersViewAt, h.nextSitesCheck = 0, 0
@@ -74,14 +70,7 @@
 		return
 	}
 	h.nextSitesCheck = now + sitesInterval
-	for more := true; more; {
-		select {
-		case command := <-h.siteCommands:
-			h.siteWatch.SetManuallyOut(now, command.Zone, command.Out)
-		default:
-			more = false
-		}
-	}
+	h.applySiteCommands(now)
 	if view := h.membersView.Load(); view != nil && view != h.sitesMembersView {
 		h.sitesMembersView = view
 		relays, alive := map[string]int{}, map[string]int{}
@@ -109,6 +98,48 @@
 	h.sitesStatus.Store(&Sites{At: now, Home: h.homeZone, All: h.siteWatch.Statuses()})
 }
 
+// applySiteCommands carries out the operators' commands that wait.
+func (h *Host) applySiteCommands(now policy.Time) {
+	for {
+		select {
+		case command := <-h.siteCommands:
+			h.siteWatch.SetManuallyOut(now, command.Zone, command.Out)
+		default:
+			return
+		}
+	}
+}
+
+// sitesOut returns the zones that operators have taken out, for the next process.
+func (h *Host) sitesOut() []string {
+	if h.siteWatch == nil {
+		return nil
+	}
+	h.applySiteCommands(h.now())
+	return manuallyOut(h.siteWatch)
+}
+
+// manuallyOut returns the zones that operators have taken out.
+func manuallyOut(watch *sites.Watch) (zones []string) {
+	for _, site := range watch.Statuses() {
+		if site.ManuallyOut {
+			zones = append(zones, site.Zone)
+		}
+	}
+	return zones
+}
+
+// takeSitesOut takes out the sites that operators had taken out before a new plan, or at the process
+// before.
+func (h *Host) takeSitesOut(zones []string) {
+	if h.siteWatch == nil {
+		return
+	}
+	for _, zone := range zones {
+		h.siteWatch.SetManuallyOut(h.now(), zone, true)
+	}
+}
+
 // exchangeSiteReports takes in what other relays report about sites, and reports what this one
 // observes.
 func (h *Host) exchangeSiteReports(now policy.Time) {
--- a/internal/wire/sites_test.go
+++ b/internal/wire/sites_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"oatfold/internal/clock"
+	"oatfold/internal/handover"
 	"oatfold/internal/memory"
+	"oatfold/internal/memory/journal"
 	"oatfold/internal/sites"
 	"oatfold/policy"
 )
@@ -81,3 +84,35 @@
 		t.Errorf("without a plan: %+v, %+v", h.Sites(), h.pendingEvents)
 	}
 }
+
+// Guards against a site that operators took out and that an upgrade brings back: the next process
+// takes it out as well, also where the command had just been given.
+func TestSiteStaysOutInUpgrade(t *testing.T) {
+	plan := &sites.Plan{Sites: []sites.Site{
+		{Zone: "a", Tiers: []sites.Tier{{Zones: []string{"b"}, SpillFraction: 1}}}, {Zone: "b"}}}
+	previous, next := startEnv(t, answerOK), startEnv(t, answerOK)
+	for _, env := range []*testEnv{previous, next} {
+		env.host.SetSitePlan(plan, "b")
+	}
+	next.host.Do(func(h *Host) { h.standby, h.stepsStopped = true, true })
+	if !previous.host.SubmitSiteCommand(SiteCommand{"a", true}) {
+		t.Fatal("queue full")
+	}
+	var update *handover.Update
+	if err := previous.handOver(func(file []byte) error {
+		_, text, err := journal.DecodeTransfer(file, clock.Scale{})
+		if err == nil && update == nil {
+			update, err = handover.Decode(text)
+		}
+		return err
+	}, false, 0); err != nil {
+		t.Fatal(err)
+	}
+	<-next.host.Adopt(Transfer{Update: update})
+	next.host.Activate()
+	next.host.Do(func(h *Host) {
+		if all := h.siteWatch.Statuses(); !all[0].ManuallyOut || all[1].ManuallyOut {
+			t.Errorf("after the upgrade: %+v", all)
+		}
+	})
+}
--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -34,7 +34,7 @@
 		state, numbers := h.relay.ExportState(h.now()), h.table.NewSharedNumbering()
 		update := &handover.Update{Drained: &handOver.Drained, LearnedState: &state, Incarnation: h.incarnation(),
 			EndpointList: &handover.EndpointList{Generation: h.listGeneration},
-			Numbering:    &numbers}
+			Numbering:    &numbers, SitesOut: h.sitesOut()}
 		for _, ep := range h.endpoints {
 			update.EndpointList.Endpoints = append(update.EndpointList.Endpoints,
 				handover.ListedEndpoint{HostPort: ep.addr,
