Divide descriptors and memory between the two processes of an upgrade

What callers would see: the two processes of an upgrade count as one relay, and each counted for itself.

Cause: the old process kept the limits of a relay of one process, and the new one took half of them beside it. With 512 descriptors that allows 574 together.

Change: the old process halves its limit of client connections and tells with its transfers how many it keeps, before the new one serves; that one has the rest, less its own fixed descriptors. Memory for bodies is halved, and the soft memory limit divided. A reload in an upgrade no longer gives the new process the limits of one that is alone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,14 +23,6 @@
 	"oatfold/internal/wire"
 )
 
-// ownDescriptors is the number of descriptors for the process itself: standard streams, journal,
-// poll, listener, discovery.
-const ownDescriptors = 24
-
-// standbyDescriptors is the number of descriptors that a standby process takes. It counts only
-// where operators can start one.
-const standbyDescriptors = 16
-
 // standbyCheckInterval is the time between two checks for standby processes.
 const standbyCheckInterval = time.Second
 
@@ -38,22 +30,6 @@
 // serving one was told to make.
 const reloadCheckInterval = 100 * time.Millisecond
 
-// descriptorLimits returns how many client connections and how many idle connections to endpoints
-// the relay may have. It divides the file descriptors that remain besides the process's own files,
-// one for each concurrent call, and connections that are still read after the end of their call.
-// Idle connections get up to a quarter of all descriptors, client connections up to half. Clients
-// use about a third; the rest is a reserve for many silent clients, so that calls never lack a
-// descriptor.
-func descriptorLimits(c *config.Config) (clients, idle int) {
-	reserved := ownDescriptors + wire.MaxLateListeners
-	if c.AdminAddr != "" {
-		reserved += admin.MaxConns + 1 + standbyDescriptors
-	}
-	remaining := max(2, c.MaxDescriptors-reserved-c.Settings.MaxConcurrentCalls)
-	idle = min(c.MaxDescriptors/4, remaining/3)
-	return max(1, min(c.MaxDescriptors/2, remaining-idle)), idle
-}
-
 // relay is one process of a relay.
 type relay struct {
 	sources ConfigSources
@@ -80,12 +56,16 @@
 	reloadUnmarked    bool                    // the state folder does not tell the latest reload yet
 
 	takingOver       atomic.Bool // the previous process is still leaving
-	stopping         atomic.Bool // a planned stop, which ends a drain
-	announcedDrain   bool        // the fleet knows that this relay is drained and empty
-	othersBytes      int64       // bytes of the state folder outside the own directory, as last seen
-	kept             keptShares  // what leaving processes keep of the limits
-	orders           *orders     // of the operators
-	inheritedDrain   *bool       // whether the process before was drained; nil: the state folder tells
+	overlapping      atomic.Bool // another process still has a share of the limits
+	limitsMu         sync.Mutex
+	limits           processLimits // as applied last; guarded by limitsMu
+	bodyBytes        int64         // that bodies of pending messages may take in memory
+	stopping         atomic.Bool   // a planned stop, which ends a drain
+	announcedDrain   bool          // the fleet knows that this relay is drained and empty
+	othersBytes      int64         // bytes of the state folder outside the own directory, as last seen
+	kept             keptShares    // what leaving processes keep of the limits
+	orders           *orders       // of the operators
+	inheritedDrain   *bool         // whether the process before was drained; nil: the state folder tells
 	cancelPluginLoad func()
 }
 
@@ -117,7 +97,8 @@
 		return r.startFailed(err)
 	}
 	options = r.watchReloads(active, options)
-	messages, err := r.openJournal(active, options.bodyBytes)
+	r.bodyBytes = options.bodyBytes
+	messages, err := r.openJournal(active)
 	if err != nil {
 		return r.startFailed(err)
 	}
@@ -292,11 +273,8 @@
 	if err != nil {
 		return stopTakeOver, fmt.Errorf("listen: %w", err)
 	}
-	clients, _ := descriptorLimits(r.configuration())
-	if predecessorLeaving {
-		clients = max(1, clients/2)
-	}
-	server := wire.NewServer(ln, &r.configuration().Settings, clients, r.host.Events(), r.log)
+	limits := r.connections(r.configuration())
+	server := wire.NewServer(ln, &r.configuration().Settings, limits.Clients, r.host.Events(), r.log)
 	server.SetPlugins(r.plugins)
 	server.SetMetrics(r.metrics)
 	r.host.Activate()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -15,7 +15,8 @@
 	} {
 		cfg := &config.Config{MaxDescriptors: c.descriptors}
 		cfg.Settings.MaxConcurrentCalls = c.calls
-		clients, idle := descriptorLimits(cfg)
+		limits := connectionsAlone(cfg)
+		clients, idle := limits.Clients, limits.Idle
 		if clients+idle+c.calls+ownDescriptors+wire.MaxLateListeners > c.descriptors ||
 			clients < c.descriptors/3 || idle < c.calls/2 {
 			t.Errorf("%+v: %d clients, %d idle", c, clients, idle)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -8,6 +8,7 @@
 	"oatfold/internal/drain"
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/processdir"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/internal/transient"
@@ -71,6 +72,8 @@
 		s.host.EndTransferScan()
 	}
 	s.updateJournalShare()
+	s.overlapping.Store(leaving)
+	s.applyLimits()
 	return leaving
 }
 
@@ -106,11 +109,8 @@
 	return leaving
 }
 
-// takeOverUntilLast opens gossip and repeats takeOver until no other process is leaving. Until then
-// this process uses half of its idle connections to endpoints.
+// takeOverUntilLast opens gossip and repeats takeOver until no other process is leaving.
 func (s *successor) takeOverUntilLast() {
-	_, idle := descriptorLimits(s.configuration())
-	s.host.SetMaxIdleConns(idle / 2)
 	s.joinFleet(s.configuration())
 	for s.takeOver() {
 		select {
@@ -122,9 +122,6 @@
 	if s.ctx.Err() != nil {
 		return
 	}
-	clients, idle := descriptorLimits(s.configuration())
-	s.host.SetMaxIdleConns(idle)
-	s.server.Load().Configure(&s.configuration().Settings, clients)
 	s.takingOver.Store(false)
 	s.log.Info("the process before has left, all is taken over")
 	s.finish()
@@ -257,8 +254,10 @@
 		return false
 	}
 	began, server := time.Now(), r.server.Load()
-	if r.host.HandOver(wire.Handover{Send: r.stateDir.WriteTransfer, ProcessDir: r.dir.Name, Disk: r.diskUse(),
-		Drained: server.Drained()}) != nil {
+	keptClients := r.beginLeaving(server)
+	if r.host.HandOver(wire.Handover{Send: r.stateDir.WriteTransfer, ProcessDir: r.dir.Name,
+		Use: wire.LeavingUse{Disk: r.diskUse(), ClientConns: keptClients}, Drained: server.Drained()}) != nil {
+		r.restoreLimits()
 		return false
 	}
 	r.log.Info("handing over", "standing_by", running)
@@ -273,10 +272,13 @@
 	progress, listenerClosed, readsStopped := handover.Progress{}, false, false
 	for {
 		r.passOnReload()
-		r.host.TransferRemaining(r.diskUse(), r.stateDir.OwnTransfers() < maxPendingTransfers)
 		// Read in this order: once the listener is closed, no connection is added.
 		progress.Listening = server.Accepting()
 		progress.Elapsed, progress.ClientConns = time.Since(began), server.OpenConnections()
+		keptClients = share.LowerClients(keptClients, progress.ClientConns,
+			share.MaxClientsLeaving(connectionsAlone(r.configuration())), progress.Listening)
+		r.host.TransferRemaining(wire.LeavingUse{Disk: r.diskUse(), ClientConns: keptClients},
+			r.stateDir.OwnTransfers() < maxPendingTransfers)
 		if !readsStopped && progress.Elapsed >= stopReadsAfter {
 			server.StopReads()
 			readsStopped = true
--- a/internal/daemon/disk_share.go
+++ b/internal/daemon/kept_shares.go
@@ -39,6 +39,17 @@
 	clear(k.bySender)
 }
 
+// clientConns returns how many client connections the leaving processes keep together. told is false
+// if none of them told.
+func (k *keptShares) clientConns() (count int, told bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, kept := range k.byDir {
+		count += kept.ClientConns
+	}
+	return count, len(k.byDir) > 0
+}
+
 // dirs returns the directories of the processes that told what they keep.
 func (k *keptShares) dirs() []string {
 	k.mu.Lock()
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"log/slog"
-	"runtime/debug"
 
 	"oatfold/internal/daemon/config"
 	"oatfold/internal/daemon/config/operator"
+	"oatfold/internal/handover/share"
 	"oatfold/internal/plugin"
 	"oatfold/internal/sites"
 	"oatfold/internal/wire"
@@ -131,7 +131,8 @@
 // applyReload applies a configuration that was read, and starts loading the operator's file.
 func (r *relay) applyReload(ctx context.Context, result configReadResult) {
 	r.configRead = nil
-	r.current.Store(applyConfig(r.configuration(), result, r.host, r.server.Load(), r.log))
+	r.current.Store(r.applyConfig(r.configuration(), result))
+	r.applyLimits()
 	r.updateJournalBudget()
 	if r.reloadAgain {
 		r.reloadAgain = false
@@ -169,39 +170,36 @@
 func memoryTarget(c *config.Config) int64 { return int64(float64(c.MemoryBytes) * memoryTargetShare) }
 
 // hostConfig returns the part of the host's configuration that comes from the platform's; a reload
-// can change it.
-func hostConfig(c *config.Config) wire.HostConfig {
-	_, idle := descriptorLimits(c)
+// can change it. limits are those of this process's connections.
+func hostConfig(c *config.Config, limits share.Connections) wire.HostConfig {
 	return wire.HostConfig{Settings: c.Settings, Seed: c.Seed, ConnectTimeout: c.ConnectTimeout,
-		LoadReports: c.LoadReports, MaxIdleConns: idle, KnownEndpoints: c.KnownEndpoints}
+		LoadReports: c.LoadReports, MaxIdleConns: limits.Idle, KnownEndpoints: c.KnownEndpoints}
 }
 
 // applyConfig applies the result of a read and returns the configuration that is then in force. It
 // was read and checked completely before anything changes; if that failed, the old one stays.
-func applyConfig(old *config.Config, result configReadResult, host *wire.Host, server *wire.Server,
-	log *slog.Logger) *config.Config {
+func (r *relay) applyConfig(old *config.Config, result configReadResult) *config.Config {
 	c, err := result.config, result.err
 	if err == nil {
-		err = host.Reload(hostConfig(c), c.DiscoveryAddr)
+		err = r.host.Reload(hostConfig(c, r.connections(c)), c.DiscoveryAddr)
 	}
 	if err != nil {
-		log.Error("configuration not reloaded, the old one stays", "err", err)
+		r.log.Error("configuration not reloaded, the old one stays", "err", err)
 		return old
 	}
 	if c.AdminAddr != old.AdminAddr {
-		log.Warn("admin changes only at the next start", "admin", old.AdminAddr, "configured", c.AdminAddr)
+		r.log.Warn("admin changes only at the next start", "admin", old.AdminAddr, "configured", c.AdminAddr)
 		c.AdminAddr = old.AdminAddr
 	}
 	if c.ListenAddr != old.ListenAddr {
-		log.Warn("listen changes only at the next start", "listen", old.ListenAddr, "configured", c.ListenAddr)
+		r.log.Warn("listen changes only at the next start", "listen", old.ListenAddr, "configured", c.ListenAddr)
 		c.ListenAddr = old.ListenAddr
 	}
-	warnRemovedNames(log, &old.Settings, &c.Settings)
-	debug.SetMemoryLimit(memoryTarget(c))
-	if clients, _ := descriptorLimits(c); server != nil {
-		server.Configure(&c.Settings, clients)
+	warnRemovedNames(r.log, &old.Settings, &c.Settings)
+	if server := r.server.Load(); server != nil {
+		server.Configure(&c.Settings, r.connections(c).Clients)
 	}
-	log.Info("reloaded", "discovery", c.DiscoveryAddr, "slots", c.Settings.MaxConcurrentCalls,
+	r.log.Info("reloaded", "discovery", c.DiscoveryAddr, "slots", c.Settings.MaxConcurrentCalls,
 		"held_most", c.Settings.MaxPending)
 	return c
 }
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -152,11 +152,11 @@
 
 // openJournal opens the journal in this process's directory with what is left of the disk limit. A
 // standby leaves that to the process that serves, and writes no reserve file yet.
-func (r *relay) openJournal(active bool, bodyBytes int64) (opened openedJournal, err error) {
+func (r *relay) openJournal(active bool) (opened openedJournal, err error) {
 	budget := share.SuccessorDisk(r.diskBytes(), r.stateDir.UsedBytes(r.dir))
 	err = r.retryStart("journal can't be opened", func() (err error) {
 		opened.journal, opened.table, err = journal.Open(journal.Config{FS: journal.Dir(r.dir.Path), Budget: budget,
-			NoReserve: !active, MaxBodyBytes: bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: r.log})
+			NoReserve: !active, MaxBodyBytes: r.bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: r.log})
 		return err
 	})
 	if err != nil {
@@ -190,7 +190,7 @@
 
 // startHostConfig returns the configuration of the host. An active process opens gossip for it.
 func (r *relay) startHostConfig(active bool, options startOptions, messages openedJournal) wire.HostConfig {
-	settings := hostConfig(r.configuration())
+	settings := hostConfig(r.configuration(), r.connections(r.configuration()))
 	settings.ZoneNames, settings.HomeZone, settings.Sites = r.zoneNames, r.home(), options.sitePlan
 	settings.Plugins, settings.Metrics, settings.Log = r.plugins, r.metrics, r.log
 	settings.Table, settings.Journal = messages.table, messages.journal
--- a/internal/daemon/upgrade_limits_test.go
+++ b/internal/daemon/upgrade_limits_test.go
@@ -170,3 +170,62 @@
 		t.Logf("%d accepted, %d bytes in the folder at most", len(accepted), most)
 	}
 }
+
+// processUse returns the open descriptors of a process, and its memory in KiB without file pages.
+func processUse(pid int) (descriptors, anonKiB int) {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(status)) {
+		if value, found := strings.CutPrefix(line, "RssAnon:"); found {
+			fmt.Sscan(value, &anonKiB)
+		}
+	}
+	return len(entries), anonKiB
+}
+
+// Guards against two processes of one relay that go over its limits together: in an upgrade beside a
+// crowd each counted its connections and its memory for itself.
+func TestUpgradeBesideCrowdStaysWithinLimits(t *testing.T) {
+	const maxDescriptors, memoryMB, crowd = 512, 96, 1200
+	_, old := startWorld(t, testdouble.Config{Partners: partners, MaxDescriptors: maxDescriptors, MemoryMB: memoryMB,
+		MaxConcurrentCalls: 16, MaxPending: 347})
+	half := strings.Repeat("x", 60<<10)
+	var stop atomic.Bool
+	var clients sync.WaitGroup
+	t.Cleanup(func() { stop.Store(true); clients.Wait() })
+	for n := range crowd {
+		clients.Go(func() {
+			time.Sleep(time.Duration(n) * time.Millisecond)
+			for !stop.Load() {
+				if c, err := dialRelay(old.Addr); err == nil {
+					c.sock.SetDeadline(time.Now().Add(4 * time.Second))
+					fmt.Fprintf(c.sock, "POST /order-relay HTTP/1.1\r\nContent-Length: 65536\r\n\r\n%s", half)
+					c.sock.Read(make([]byte, 1))
+					c.sock.Close()
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+	}
+	next := startStandbyProcess(t, old)
+	time.Sleep(2 * time.Second) // the crowd is at its full size
+	pids := []int{old.PID(), next.PID()}
+	signal(t, old, syscall.SIGTERM)
+	mostDescriptors, mostKiB := 0, 0
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		descriptors, kiB := 0, 0
+		for _, pid := range pids {
+			d, k := processUse(pid)
+			descriptors, kiB = descriptors+d, kiB+k
+		}
+		mostDescriptors, mostKiB = max(mostDescriptors, descriptors), max(mostKiB, kiB)
+	}
+	awaitLog(t, next, "all is taken over")
+	t.Logf("both processes: %d descriptors, %d KiB at most", mostDescriptors, mostKiB)
+	if mostDescriptors > maxDescriptors {
+		t.Errorf("both processes held %d descriptors, the limit is %d", mostDescriptors, maxDescriptors)
+	}
+	if mostKiB > memoryMB<<10 {
+		t.Errorf("both processes held %d KiB of memory, the limit is %d", mostKiB, memoryMB<<10)
+	}
+}
--- a/internal/testdouble/environment.go
+++ b/internal/testdouble/environment.go
@@ -52,6 +52,7 @@
 	MaxConcurrentCalls int     // of a relay, to endpoints; 0: 32
 	MaxPending         int     // accepted, uncompleted messages of a relay; 0: 1000
 	MaxDescriptors     int     // file descriptors of a relay; 0: 1024
+	MemoryMB           int     // memory limit of a relay; 0: 192
 	DiskMB             float64 // size limit of a relay's state directory; 0: 16
 	FleetSize          int     // number of relays that the settings name; 0: 1
 }
@@ -76,7 +77,7 @@
 		config.Classes = DefaultClasses
 	}
 	for field, fallback := range map[*int]int{
-		&config.MaxConcurrentCalls: 32, &config.MaxPending: 1000, &config.MaxDescriptors: 1024, &config.FleetSize: 1,
+		&config.MemoryMB: 192, &config.MaxConcurrentCalls: 32, &config.MaxPending: 1000, &config.MaxDescriptors: 1024, &config.FleetSize: 1,
 	} {
 		if *field == 0 {
 			*field = fallback
--- a/internal/testdouble/relay.go
+++ b/internal/testdouble/relay.go
@@ -153,7 +153,7 @@
 	}
 	config := object{"name": name, "listen": listen, "discovery": env.Platform.Addr,
 		"seed": fmt.Sprintf("%016x", env.config.Seed),
-		"limits": object{"cores": 1, "memory_mb": 192, "sockets": env.config.MaxDescriptors,
+		"limits": object{"cores": 1, "memory_mb": env.config.MemoryMB, "sockets": env.config.MaxDescriptors,
 			"disk_mb": env.config.DiskMB},
 		"settings": object{"fleetSize": env.config.FleetSize, "tickUs": 5000, "discovery": "push",
 			"weightSource": "off", "grades": grades,
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -208,6 +208,11 @@
 	return committed
 }
 
+// SetBodyMemory sets the bytes that bodies of pending messages may use in memory; 0: no limit.
+func (h *Host) SetBodyMemory(bytes int64) {
+	h.Do(func(h *Host) { h.journal.SetMaxBodyBytes(bytes) })
+}
+
 // SetUntoldJournalShare sets the journal's share beside a leaving process that does not tell its own.
 // others is what all other files take, of limit bytes.
 func (h *Host) SetUntoldJournalShare(limit, others int64) {
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -157,7 +157,8 @@
 		t.Errorf("submitted after the handover: answered %d", got)
 	}
 	close(release)
-	env.host.TransferRemaining(share.DiskUse{Limit: testDiskLimit, Spooled: testDiskLimit}, true) // no room
+	full := LeavingUse{Disk: share.DiskUse{Limit: testDiskLimit, Spooled: testDiskLimit}}
+	env.host.TransferRemaining(full, true)
 	mu.Lock()
 	if len(transferred) != 1 {
 		t.Errorf("transferred without capacity: %v", transferred)
--- a/internal/wire/leaving.go
+++ b/internal/wire/leaving.go
@@ -18,28 +18,39 @@
 	journal    *journal.Journal
 	disk       share.LeavingDisk
 	use        share.DiskUse // as last seen, and with the transfers written since
-	toldBytes  int64         // the share that the next process was told last
+	conns      int           // client connections that it keeps
+	told       share.Kept    // what the next process was told last
 }
 
-// tellShareDivisor is what the disk limit is divided by to get the part of it that is worth a
-// transfer of its own once it is given up.
-const tellShareDivisor = 32
+// What is worth a transfer of its own once it is given up: a part of the disk limit, by which that is
+// divided, and a number of client connections.
+const (
+	tellDiskDivisor = 32
+	tellConns       = 16
+)
 
 // newLeaving returns a process that begins to hand over, and lowers its journal's share.
 func newLeaving(handOver Handover, messages *journal.Journal) *leavingProcess {
-	l := &leavingProcess{write: handOver.Send, processDir: handOver.ProcessDir, journal: messages, use: handOver.Disk}
+	l := &leavingProcess{write: handOver.Send, processDir: handOver.ProcessDir, journal: messages,
+		use: handOver.Use.Disk, conns: handOver.Use.ClientConns}
 	l.use.Needed = messages.NeededBytes(l.use.Limit)
 	l.disk = share.KeepDisk(l.use)
-	l.toldBytes = l.disk.Bytes()
+	l.told = l.kept()
 	l.applyShare()
 	return l
 }
 
-// updateDisk lowers the share by what the process no longer needs.
-func (l *leavingProcess) updateDisk(use share.DiskUse) {
-	l.use = use
-	l.use.Needed = l.journal.NeededBytes(use.Limit)
+// kept returns what the process keeps now.
+func (l *leavingProcess) kept() share.Kept {
+	return share.Kept{ProcessDir: l.processDir, DiskBytes: l.disk.Bytes(), ClientConns: l.conns}
+}
+
+// update lowers the shares by what the process no longer needs.
+func (l *leavingProcess) update(use LeavingUse) {
+	l.use = use.Disk
+	l.use.Needed = l.journal.NeededBytes(l.use.Limit)
 	l.disk.Lower(l.use)
+	l.conns = min(l.conns, use.ClientConns)
 	l.applyShare()
 }
 
@@ -51,15 +62,16 @@
 	return l.disk.TransferCapacity(l.use)
 }
 
-// hasShareToTell reports whether enough of the share was given up for a transfer without messages.
+// hasShareToTell reports whether enough was given up for a transfer without messages.
 func (l *leavingProcess) hasShareToTell() bool {
-	return l.toldBytes-l.disk.Bytes() >= l.use.Limit/tellShareDivisor
+	return l.told.DiskBytes-l.disk.Bytes() >= l.use.Limit/tellDiskDivisor || l.told.ClientConns-l.conns >= tellConns
 }
 
 // fitUpdate returns the bytes to pass for an update, without messages. What the next process can do
 // without is left out of one that does not fit into capacity bytes.
 func (l *leavingProcess) fitUpdate(update *handover.Update, capacity int64) int64 {
-	update.Kept = &share.Kept{ProcessDir: l.processDir, DiskBytes: l.disk.Bytes()}
+	kept := l.kept()
+	update.Kept = &kept
 	cost := l.cost(nil, update, clock.Scale{})
 	if cost > capacity && (update.EndpointList != nil || update.LearnedState != nil) {
 		update.EndpointList, update.LearnedState = nil, nil
@@ -81,10 +93,11 @@
 
 // send writes a transfer, which tells what this process keeps from then on.
 func (l *leavingProcess) send(msgs []*memory.Message, update *handover.Update, scale clock.Scale) error {
-	update.Kept = &share.Kept{ProcessDir: l.processDir, DiskBytes: l.disk.Bytes()}
+	kept := l.kept()
+	update.Kept = &kept
 	cost := l.cost(msgs, update, scale)
 	l.disk.Pass(cost)
-	update.Kept.DiskBytes = l.disk.Bytes() // has no more digits than the cost was counted with
+	kept.DiskBytes = l.disk.Bytes() // has no more digits than the cost was counted with
 	content := journal.EncodeTransfer(msgs, update.Encode(), scale)
 	size := plan.DiskSize(int64(len(content)))
 	l.use.Spooled += size
@@ -95,6 +108,6 @@
 		l.applyShare()
 		return err
 	}
-	l.toldBytes = l.disk.Bytes()
+	l.told = kept
 	return nil
 }
--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -17,8 +17,14 @@
 type Handover struct {
 	Send       func([]byte) error // writes a file for the next process
 	ProcessDir string             // name of this process's directory
-	Disk       share.DiskUse      // the host adds what its journal needs
-	Drained    bool               // operators have drained the relay
+	Use        LeavingUse
+	Drained    bool // operators have drained the relay
+}
+
+// LeavingUse is what a leaving process uses of the relay's limits.
+type LeavingUse struct {
+	Disk        share.DiskUse // the host adds what its journal needs
+	ClientConns int           // client connections that it keeps
 }
 
 // HandOver stops the policy steps and transfers this process's state and all messages that are not
@@ -81,14 +87,14 @@
 }
 
 // TransferRemaining transfers what is left: what did not fit, messages accepted since, and those
-// that calls left unfinished. It lowers this process's share of the disk to what it needs by now, and
+// that calls left unfinished. It lowers this process's share of the limits to what it uses by now, and
 // writes a file only if mayWrite is set.
-func (h *Host) TransferRemaining(disk share.DiskUse, mayWrite bool) {
+func (h *Host) TransferRemaining(use LeavingUse, mayWrite bool) {
 	h.Do(func(h *Host) {
 		if h.leavingProcess == nil {
 			return
 		}
-		h.leavingProcess.updateDisk(disk)
+		h.leavingProcess.update(use)
 		if mayWrite {
 			h.transferPending(h.leavingProcess, &handover.Update{}, h.leavingProcess.capacity())
 		}
--- a/internal/wire/transfer_test.go
+++ b/internal/wire/transfer_test.go
@@ -46,17 +46,17 @@
 func (env *testEnv) handOver(send func([]byte) error, drained bool, capacity int64) error {
 	var use share.DiskUse
 	env.host.Do(func(h *Host) { use = diskWith(h, capacity) })
-	return env.host.HandOver(Handover{Send: send, ProcessDir: "life-1", Disk: use, Drained: drained})
+	return env.host.HandOver(Handover{Send: send, ProcessDir: "life-1", Use: LeavingUse{Disk: use}, Drained: drained})
 }
 
 // transferRemaining transfers what is left, with nothing in the spool.
 func (env *testEnv) transferRemaining() {
-	env.host.TransferRemaining(share.DiskUse{Limit: testDiskLimit}, true)
+	env.host.TransferRemaining(LeavingUse{Disk: share.DiskUse{Limit: testDiskLimit}}, true)
 }
 
 // handOverTo has a host without its event loop hand over.
 func handOverTo(h *Host, send func([]byte) error) {
-	h.leavingProcess = newLeaving(Handover{Send: send, Disk: diskWith(h, share.MaxTransferBytes)}, h.journal)
+	h.leavingProcess = newLeaving(Handover{Send: send, Use: LeavingUse{Disk: diskWith(h, share.MaxTransferBytes)}}, h.journal)
 }
 
 // transferRecorder collects what a host transfers.
