--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -49,18 +49,9 @@
 	if status := client.submit("price-alert", "resting-"+old.AdminAddr, 5_900, 1, "price-alert/resting"); status != 202 {
 		t.Fatalf("answered %d", status)
 	}
-	if next, err = old.StartNextProcess(); err == nil {
-		err = next.AwaitLog("standing by")
-	}
-	if err == nil {
-		err = old.Signal(syscall.SIGTERM)
-	}
-	if err == nil {
-		err = old.AwaitLog("handing over")
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	next = startStandbyProcess(t, old)
+	signal(t, old, syscall.SIGTERM)
+	awaitLog(t, old, "handing over")
 	return next
 }
 
@@ -73,9 +64,7 @@
 	if got := order(t, old, "/healthcheck/fail"); got != 503 {
 		t.Errorf("a process that hands over answered a drain %d", got)
 	}
-	if err := next.AwaitLog("msg=ready"); err != nil {
-		t.Fatal(err)
-	}
+	awaitLog(t, next, "msg=ready")
 	expectReady(t, next, 200, "after a drain that was refused")
 	if got := order(t, next, "/healthcheck/fail"); got != 200 {
 		t.Errorf("the new process answered a drain %d", got)
@@ -102,19 +91,9 @@
 	if got := order(t, old, "/healthcheck/fail"); got != 200 {
 		t.Fatalf("answered %d", got)
 	}
-	next, err := old.StartNextProcess()
-	if err == nil {
-		err = next.AwaitLog("standing by")
-	}
-	if err == nil {
-		err = old.Signal(syscall.SIGTERM)
-	}
-	if err == nil {
-		err = next.AwaitLog("msg=ready")
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	next := startStandbyProcess(t, old)
+	signal(t, old, syscall.SIGTERM)
+	awaitLog(t, next, "msg=ready")
 	expectReady(t, next, 503, "drained before the upgrade")
 	if got := order(t, next, "/healthcheck/ok"); got != 200 {
 		t.Fatalf("answered %d", got)
@@ -130,12 +109,8 @@
 // Guards against a drain that a planned stop answers 200: the next start is at work.
 func TestDrainOrderedDuringPlannedStop(t *testing.T) {
 	_, r := startWorld(t, testdouble.Config{Partners: partners})
-	if err := r.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if err := r.AwaitLog("msg=stopping"); err != nil {
-		t.Fatal(err)
-	}
+	signal(t, r, syscall.SIGTERM)
+	awaitLog(t, r, "msg=stopping")
 	if got := order(t, r, "/healthcheck/fail"); got != 503 {
 		t.Errorf("a process that stops answered a drain %d", got)
 	}
@@ -147,13 +122,7 @@
 // A standby has nothing to drain, and a drain of the old process holds in it.
 func TestStandbyRefusesOrders(t *testing.T) {
 	_, old := startWorld(t, testdouble.Config{Partners: partners})
-	next, err := old.StartNextProcess()
-	if err == nil {
-		err = next.AwaitLog("standing by")
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	next := startStandbyProcess(t, old)
 	if got := order(t, next, "/healthcheck/fail"); got != 503 {
 		t.Errorf("a standby answered a drain %d", got)
 	}
--- a/internal/daemon/upgrade_limits_test.go
+++ b/internal/daemon/upgrade_limits_test.go
@@ -131,16 +131,8 @@
 		})
 	}
 	load.Wait()
-	next, err := old.StartNextProcess()
-	if err == nil {
-		err = next.AwaitLog("standing by")
-	}
-	if err == nil {
-		err = old.Signal(syscall.SIGTERM)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	next := startStandbyProcess(t, old)
+	signal(t, old, syscall.SIGTERM)
 	time.Sleep(600 * time.Millisecond)
 	for n, c := range resting {
 		time.Sleep(time.Second / 110)
