Count a transfer's update once, so that what was learned fits at any size of fleet

With some hundred endpoints the new process would not have got what the old one learned of them.

Change: only messages count in both journals; an update counts in the spool, and in the file that stays for a restart. That file keeps what a restarted successor has to know (calls, waits, what is pending, numbers, the share); the endpoint list, what was learned, the drain and sites are older by then than what the relay has seen or was ordered since. Where an update does not fit, the endpoint list is left out first. A drain that could not be recorded before is recorded later.

Tests of daemon, wire and handover pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -287,6 +287,9 @@
 	}
 	server.HandleDrainEvent(drain.Started)
 	r.server.Store(server)
+	if r.inheritedDrain != nil {
+		go r.saveDrain(r.orders.open) // where the folder could not be written before
+	}
 	if err := r.dir.SetStatus(processdir.StatusServing); err != nil {
 		r.log.Warn("status can't be written to the state folder; a leaving process will not see that this one serves",
 			"err", err)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -181,9 +181,8 @@
 			s.log.Error("transfer not adopted", "file", name, "err", err)
 			continue
 		}
-		outdated := len(messages) > 0
-		if update.Drained != nil && s.inheritDrain(*update.Drained) == nil {
-			update.Drained, outdated = nil, true // a file that stays must not undo a later order
+		if update.Drained != nil {
+			s.inheritDrain(*update.Drained)
 		}
 		if !leaving {
 			// Its sender has ended, perhaps long ago.
@@ -195,27 +194,24 @@
 			s.unadopted.addKnown(m.ID)
 		}
 		if s.waitCommitted(s.host.Adopt(wire.Transfer{Sender: sender, Messages: messages, Update: update})) {
-			if len(update.SitesOut) > 0 {
-				update.SitesOut, outdated = nil, true // nor a later command
-			}
-			s.keepLatestTransfer(name, sender, update, outdated)
+			s.keepLatestTransfer(name, sender, update.ForRestart(), len(raw))
 		}
 	}
 }
 
 // keepLatestTransfer removes a transfer that has been adopted. The latest one of each process stays
 // without its messages: if this process is killed, the next one has to know what is still pending
-// at the sender. outdated says that its file has more than update.
-func (s *successor) keepLatestTransfer(name, sender string, update *handover.Update, outdated bool) {
+// at the sender. size is that of its file, which may have more than that.
+func (s *successor) keepLatestTransfer(name, sender string, update *handover.Update, size int) {
 	if previous, ok := s.latestTransfer[sender]; ok {
 		s.removeTransfer(previous)
 	}
 	s.latestTransfer[sender] = name
-	if !outdated {
+	content := journal.EncodeTransfer(nil, update.Encode(), s.stateDir.TimeScale())
+	if len(content) == size {
 		return
 	}
-	if err := s.stateDir.ReplaceTransfer(name,
-		journal.EncodeTransfer(nil, update.Encode(), s.stateDir.TimeScale())); err != nil {
+	if err := s.stateDir.ReplaceTransfer(name, content); err != nil {
 		s.log.Warn("update of the previous process can't be kept for a restart", "file", name, "err", err)
 		s.removeTransfer(name)
 		delete(s.latestTransfer, sender)
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -75,8 +75,11 @@
 }
 
 // inheritDrain takes over what operators ordered from the process before. It records that before it
-// serves: later orders, also those to a process that starts after this one, count for more.
-func (s *successor) inheritDrain(drained bool) error {
+// serves: later orders, also those to a process that starts after this one, count for more. If it
+// can't, that is tried again once it serves.
+func (s *successor) inheritDrain(drained bool) {
 	s.inheritedDrain = &drained
-	return s.retry("drain state can't be saved", func() error { return s.stateDir.SetDrained(drained) })
+	if err := s.retry("drain state can't be saved", func() error { return s.stateDir.SetDrained(drained) }); err != nil {
+		s.log.Warn("drain state not saved yet", "err", err)
+	}
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -51,6 +51,15 @@
 	HostPort string          `json:"at"`
 }
 
+// ForRestart returns the part of an adopted update that a successor which is killed and starts again
+// has to know: what is still pending at the sender, and what that one keeps. All else is older by then
+// than what the relay has seen or was ordered since.
+func (u *Update) ForRestart() *Update {
+	kept := *u
+	kept.Drained, kept.SitesOut, kept.EndpointList, kept.LearnedState = nil, nil, nil, nil
+	return &kept
+}
+
 // Encode returns the update as JSON.
 func (u *Update) Encode() []byte {
 	b, err := json.Marshal(u)
--- a/internal/handover/share/disk.go
+++ b/internal/handover/share/disk.go
@@ -49,31 +49,44 @@
 // free returns what the share has beyond what its process needs.
 func (l LeavingDisk) free(use DiskUse) int64 { return max(0, l.bytes-use.Spooled-use.Needed) }
 
-// MaxTransferBytes has room for a message with the longest body, 64 KiB, and all that goes with it.
+// MaxTransferBytes bounds the messages of a transfer. It has room for one with the longest body, 64 KiB,
+// and all that goes with it.
 const MaxTransferBytes = 80 << 10
 
-// TransferCapacity returns how many bytes may be passed on with the next transfer. It is half of what
-// is free of the share: until the transfer is adopted its messages are in the spool, and the room
-// that they need in the other journal is given up already.
-func (l LeavingDisk) TransferCapacity(use DiskUse) int64 {
-	return min(l.free(use)/2, MaxTransferBytes)
+// Transfer is the size of a transfer, in bytes.
+type Transfer struct {
+	File     int64 // its file
+	Messages int64 // the part with the messages
+	Kept     int64 // the file that takes its place in the spool, for a restart
+	Reserve  int64 // what the other journal reserves for the records that may follow
 }
 
-// Pass gives up the bytes that a transfer is going to take in the other process's journal. It is
-// called before the transfer is written, with the result as what this process keeps.
-func (l *LeavingDisk) Pass(bytes int64) { l.bytes -= bytes }
+// Passed returns the bytes to pass with the transfer: the room that its messages take in the other
+// journal, and that of the file that stays.
+func (t Transfer) Passed() int64 {
+	return plan.DiskSize(t.Messages+plan.BlockSize) + plan.DiskSize(t.Kept) + t.Reserve
+}
 
-// Restore takes back what was passed with a transfer that could not be written.
-func (l *LeavingDisk) Restore(bytes int64) { l.bytes += bytes }
-
-// TransferCost returns the bytes to pass with a transfer: the room that its messages take in the
-// other journal, and that of a copy without them, which stays in the spool for a restart. sizeBytes
-// is the size of its file, metadataBytes that of the part without messages, and reserveBytes what
-// the other journal reserves for the records that may follow.
-func TransferCost(sizeBytes, metadataBytes, reserveBytes int64) int64 {
-	return plan.DiskSize(sizeBytes) + plan.DiskSize(metadataBytes) + reserveBytes
+// needs returns what a transfer takes of the share until it is adopted: its file is in the spool, and
+// what it passes is given up already.
+func (t Transfer) needs() int64 { return plan.DiskSize(t.File) + t.Passed() }
+
+// Fits reports whether a transfer may be written now.
+func (l LeavingDisk) Fits(use DiskUse, t Transfer) bool { return t.needs() <= l.free(use) }
+
+// MessageCapacity returns how many bytes of messages may be added to a transfer that has none yet.
+// They count in its file and in the other journal.
+func (l LeavingDisk) MessageCapacity(use DiskUse, t Transfer) int64 {
+	return min(max(0, l.free(use)-t.needs())/2, MaxTransferBytes)
 }
 
+// Pass gives up what a transfer passes. It is called before the transfer is written, with the result as
+// what this process keeps.
+func (l *LeavingDisk) Pass(t Transfer) { l.bytes -= t.Passed() }
+
+// Restore takes back what was passed with a transfer that could not be written.
+func (l *LeavingDisk) Restore(t Transfer) { l.bytes += t.Passed() }
+
 // SuccessorDisk returns what a journal may use beside others: their files, or what they keep if
 // that is more.
 func SuccessorDisk(limit, others int64) int64 { return limit - others }
--- a/internal/wire/leaving.go
+++ b/internal/wire/leaving.go
@@ -56,55 +56,63 @@
 
 func (l *leavingProcess) applyShare() { l.journal.SetShare(l.disk.JournalBudget(l.use)) }
 
-// capacity returns how many bytes may be passed on now.
-func (l *leavingProcess) capacity() int64 {
-	l.use.Needed = l.journal.NeededBytes(l.use.Limit)
-	return l.disk.TransferCapacity(l.use)
-}
-
 // hasShareToTell reports whether enough was given up for a transfer without messages.
 func (l *leavingProcess) hasShareToTell() bool {
 	return l.told.DiskBytes-l.disk.Bytes() >= l.use.Limit/tellDiskDivisor || l.told.ClientConns-l.conns >= tellConns
 }
 
-// fitUpdate returns the bytes to pass for an update, without messages. What the next process can do
-// without is left out of one that does not fit into capacity bytes.
-func (l *leavingProcess) fitUpdate(update *handover.Update, capacity int64) int64 {
-	kept := l.kept()
-	update.Kept = &kept
-	cost := l.cost(nil, update, clock.Scale{})
-	if cost > capacity && (update.EndpointList != nil || update.LearnedState != nil) {
-		update.EndpointList, update.LearnedState = nil, nil
-		cost = l.cost(nil, update, clock.Scale{})
+// fitUpdate returns the size of a transfer of an update without messages. What the next process can do
+// without is left out of one that does not fit into the share: first the endpoint list, which it gets
+// from discovery as well, then what was learned.
+func (l *leavingProcess) fitUpdate(update *handover.Update) share.Transfer {
+	l.use.Needed = l.journal.NeededBytes(l.use.Limit)
+	size := l.measure(nil, update)
+	if !l.disk.Fits(l.use, size) && update.EndpointList != nil {
+		update.EndpointList = nil
+		size = l.measure(nil, update)
+	}
+	if !l.disk.Fits(l.use, size) && update.LearnedState != nil {
+		update.LearnedState = nil
+		size = l.measure(nil, update)
 	}
-	return cost
+	return size
 }
 
-// cost returns the bytes to pass for a transfer.
-func (l *leavingProcess) cost(msgs []*memory.Message, update *handover.Update, scale clock.Scale) int64 {
-	metadata := update.Encode()
-	reserve := int64(0)
+// messageCapacity returns how many bytes of messages may be added to an update.
+func (l *leavingProcess) messageCapacity(update share.Transfer) int64 {
+	return l.disk.MessageCapacity(l.use, update)
+}
+
+// measure returns the size of a transfer.
+func (l *leavingProcess) measure(msgs []*memory.Message, update *handover.Update) (size share.Transfer) {
+	kept := l.kept()
+	update.Kept = &kept
+	metadata := int64(len(journal.EncodeTransfer(nil, update.Encode(), clock.Scale{})))
+	size.File = metadata
+	size.Kept = int64(len(journal.EncodeTransfer(nil, update.ForRestart().Encode(), clock.Scale{})))
 	for _, m := range msgs {
-		reserve += l.journal.MessageReserve(len(m.ID))
+		size.Reserve += l.journal.MessageReserve(len(m.ID))
+	}
+	if len(msgs) > 0 {
+		size.File = int64(len(journal.EncodeTransfer(msgs, update.Encode(), clock.Scale{})))
+		size.Messages = size.File - metadata
 	}
-	content := int64(len(journal.EncodeTransfer(msgs, metadata, scale)))
-	return share.TransferCost(content, int64(len(journal.EncodeTransfer(nil, metadata, scale))), reserve)
+	return size
 }
 
 // send writes a transfer, which tells what this process keeps from then on.
 func (l *leavingProcess) send(msgs []*memory.Message, update *handover.Update, scale clock.Scale) error {
-	kept := l.kept()
+	size := l.measure(msgs, update)
+	l.disk.Pass(size)
+	kept := l.kept() // has no more digits than it was measured with
 	update.Kept = &kept
-	cost := l.cost(msgs, update, scale)
-	l.disk.Pass(cost)
-	kept.DiskBytes = l.disk.Bytes() // has no more digits than the cost was counted with
 	content := journal.EncodeTransfer(msgs, update.Encode(), scale)
-	size := plan.DiskSize(int64(len(content)))
-	l.use.Spooled += size
+	fileBytes := plan.DiskSize(int64(len(content)))
+	l.use.Spooled += fileBytes
 	l.applyShare()
 	if err := l.write(content); err != nil {
-		l.disk.Restore(cost)
-		l.use.Spooled -= size
+		l.disk.Restore(size)
+		l.use.Spooled -= fileBytes
 		l.applyShare()
 		return err
 	}
--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -66,7 +66,7 @@
 		})
 		h.reportedInFlight = -1
 		leaving := newLeaving(handOver, h.journal)
-		if err = h.transferPending(leaving, update, leaving.capacity()); err != nil {
+		if err = h.transferPending(leaving, update, share.MaxTransferBytes); err != nil {
 			h.untransferredRetryAfters, h.untransferred = nil, nil
 			return
 		}
@@ -96,7 +96,7 @@
 		}
 		h.leavingProcess.update(use)
 		if mayWrite {
-			h.transferPending(h.leavingProcess, &handover.Update{}, h.leavingProcess.capacity())
+			h.transferPending(h.leavingProcess, &handover.Update{}, share.MaxTransferBytes)
 		}
 	})
 }
@@ -134,7 +134,7 @@
 }
 
 // transferPending writes a file for the next process with the messages that fit into capacity bytes
-// of its share of the disk, if there is anything to report. The messages stay in this process's
+// and its share of the disk, if there is anything to report. The messages stay in this process's
 // directory as well until compaction removes them.
 func (h *Host) transferPending(leaving *leavingProcess, update *handover.Update, capacity int64) error {
 	update.RetryAfters = h.untransferredRetryAfters
@@ -145,7 +145,7 @@
 	var msgs, rest []*memory.Message
 	if len(h.untransferred) > 0 || update.LearnedState != nil {
 		update.PendingOrdered = h.remainingOrdered(nil)
-		msgs, rest = h.selectTransfer(capacity - leaving.fitUpdate(update, capacity))
+		msgs, rest = h.selectTransfer(min(capacity, leaving.messageCapacity(leaving.fitUpdate(update))))
 	}
 	update.PendingOrdered = h.remainingOrdered(msgs)
 	if len(msgs) == 0 && len(h.untransferredRetryAfters) == 0 && len(h.calls) == h.reportedInFlight &&
--- a/internal/wire/transfer_test.go
+++ b/internal/wire/transfer_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,8 @@
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/share"
 	"oatfold/internal/memory/journal"
+	"oatfold/internal/testdouble/faultfs"
+	"oatfold/policy"
 )
 
 // block keeps the policy engine from calling the endpoint, so that messages wait.
@@ -128,3 +131,35 @@
 		}
 	})
 }
+
+// Guards against an upgrade in which a relay of many endpoints forgets what it learned of them: that is
+// passed on whatever its size, as long as the folder has room, and the endpoint list is left out first.
+func TestLargeUpdateIsPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		free                  int64 // of the share
+		wantList, wantLearned bool
+	}{
+		"room for all":              {400_000, true, true},
+		"room for what was learned": {230_000, false, true},
+		"room for neither":          {20_000, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newTestHostOn(t, faultfs.New())
+			update := &handover.Update{LearnedState: &policy.LearnedState{}, EndpointList: &handover.EndpointList{}}
+			for n := range 800 {
+				id := fmt.Sprintf("endpoint-%04d", n)
+				update.LearnedState.Routes = append(update.LearnedState.Routes, policy.RouteState{Endpoint: id})
+				update.EndpointList.Endpoints = append(update.EndpointList.Endpoints,
+					handover.ListedEndpoint{HostPort: "127.0.0.1:80", Endpoint: policy.Endpoint{Address: id}})
+			}
+			handOverTo(h, func([]byte) error { return nil })
+			leaving := h.leavingProcess
+			leaving.use.Spooled = leaving.disk.Bytes() - leaving.use.Needed - c.free
+			size := leaving.fitUpdate(update)
+			if (update.EndpointList != nil) != c.wantList || (update.LearnedState != nil) != c.wantLearned {
+				t.Errorf("list %v, learned %v, %+v in %d bytes", update.EndpointList != nil, update.LearnedState != nil,
+					size, c.free)
+			}
+		})
+	}
+}
