--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,8 +240,8 @@
 	}
 }
 
-// announceStandby writes to the state folder that this process stands by, as soon as the disk allows
-// it.
+// announceStandby writes to the state folder that this process stands by, as soon as the disk
+// allows it.
 func (r *relay) announceStandby(ctx context.Context) error {
 	err := r.retryUntilDone(ctx, "status of the standby can't be written", func() error {
 		return r.dir.SetStatus(processdir.StatusReady)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -27,8 +27,8 @@
 	*relay
 	ctx        context.Context
 	unreadable map[string]bool // files of the spool that can't be read; they stay for an operator
-	// By sender: its latest file that was adopted. It stays in the spool without its messages, for a
-	// successor that is restarted.
+	// By sender: its latest file that was adopted. It stays in the spool without its messages, for
+	// a successor that is restarted.
 	latestTransfer map[string]string
 	leaving        []string // directories of the processes that are leaving
 	steps          []unfinishedStep
@@ -226,8 +226,8 @@
 	clear(s.latestTransfer)
 }
 
-// removeTransfer removes a file of the spool. One that can't be removed now is not read again, and is
-// removed later.
+// removeTransfer removes a file of the spool. One that can't be removed now is not read again, and
+// is removed later.
 func (s *successor) removeTransfer(name string) {
 	if err := s.stateDir.RemoveTransfer(name); err != nil {
 		s.unreadable[name] = true
--- a/internal/daemon/kept_shares.go
+++ b/internal/daemon/kept_shares.go
@@ -39,8 +39,8 @@
 	clear(k.bySender)
 }
 
-// clientConns returns how many client connections the leaving processes keep together. told is false
-// if none of them told.
+// clientConns returns how many client connections the leaving processes keep together. told is
+// false if none of them told.
 func (k *keptShares) clientConns() (count int, told bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -88,8 +88,8 @@
 	return bytes, told
 }
 
-// updateJournalShare sets the journal's share of the disk limit: what others leave of it. Transfers of
-// processes that have ended count twice, since their messages may still be adopted.
+// updateJournalShare sets the journal's share of the disk limit: what others leave of it. Transfers
+// of processes that have ended count twice, since their messages may still be adopted.
 func (s *successor) updateJournalShare() {
 	usage := s.stateDir.Usage()
 	others, told := s.kept.othersBytes(usage, s.leaving, s.dir.Name)
@@ -106,8 +106,8 @@
 	}
 }
 
-// divideDisk sets the shares of the disk limit for the next batch of an adopted journal, and returns
-// how many bytes the batch may have.
+// divideDisk sets the shares of the disk limit for the next batch of an adopted journal, and
+// returns how many bytes the batch may have.
 func (s *successor) divideDisk(j *leftJournal) (batchBytes int64) {
 	usage := s.stateDir.Usage()
 	others, _ := s.kept.othersBytes(usage, s.leaving, s.dir.Name, j.dir.Name)
--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -333,8 +333,9 @@
 		t.Fatal(err)
 	}
 	submit("id-d", "s")
-	// The old process closes its listener once no connection has come for 20 ms, and a mark may come
-	// in that very moment. Its client then gets no answer and sends it again, here under another id.
+	// The old process closes its listener once no connection has come for 20 ms, and a mark may
+	// come in that very moment. Its client then gets no answer and sends it again, here under
+	// another id.
 	var unanswered []string
 	for _, id := range []string{"mark-1", "mark-2"} { // once the second one is sent, everything that may be sent was
 		if status := submitCharge(old.Addr, id, id); status == 0 && len(unanswered) == 0 {
@@ -702,8 +703,8 @@
 	}
 }
 
-// awaitDrainMark waits until the state folder says, or no longer says, that the relay is drained: that
-// is recorded after the reply.
+// awaitDrainMark waits until the state folder says, or no longer says, that the relay is drained:
+// that is recorded after the reply.
 func awaitDrainMark(t *testing.T, r *testdouble.Relay, want bool) {
 	t.Helper()
 	for range 2000 {
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -8,9 +8,9 @@
 	"oatfold/internal/wire"
 )
 
-// This file carries out what operators order at the admin address. Of the processes of one relay only
-// the one that serves, and does not leave, accepts orders: it passes on what it accepted to the next
-// process, which would not learn of later ones. All others refuse.
+// This file carries out what operators order at the admin address. Of the processes of one relay
+// only the one that serves, and does not leave, accepts orders: it passes on what it accepted to
+// the next process, which would not learn of later ones. All others refuse.
 
 // orders is the state of the operators' orders to one process.
 type orders struct {
@@ -35,8 +35,8 @@
 	return server != nil && !r.orders.closed && carryOut(server)
 }
 
-// closeOrders refuses orders from now on, and waits until none of those before is being recorded: the
-// state folder belongs to the next process.
+// closeOrders refuses orders from now on, and waits until none of those before is being recorded:
+// the state folder belongs to the next process.
 func (r *relay) closeOrders() {
 	r.orders.mu.Lock()
 	r.orders.closed = true
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -55,9 +55,9 @@
 	return next
 }
 
-// Guards against a drain that is answered 200 and lost: the old process of an upgrade took it after it
-// had passed its state on. An order is refused there, carried out by the new process, and the last one
-// holds, also when that one is killed and started again.
+// Guards against a drain that is answered 200 and lost: the old process of an upgrade took it after
+// it had passed its state on. An order is refused there, carried out by the new process, and the
+// last one holds, also when that one is killed and started again.
 func TestDrainOrderedDuringUpgrade(t *testing.T) {
 	_, old := startWorld(t, testdouble.Config{Partners: partners})
 	next := beginUpgrade(t, old)
--- a/internal/daemon/process_limits.go
+++ b/internal/daemon/process_limits.go
@@ -9,8 +9,8 @@
 	"oatfold/internal/wire"
 )
 
-// This file divides the limits of descriptors and memory: over the kinds of connections, and between
-// the processes of one relay while one replaces the other.
+// This file divides the limits of descriptors and memory: over the kinds of connections, and
+// between the processes of one relay while one replaces the other.
 
 // ownDescriptors is the number of descriptors for the process itself: standard streams, journal,
 // poll, listener, discovery.
@@ -25,8 +25,8 @@
 // processes share one limit.
 const successorDescriptors = ownDescriptors + admin.MaxConns + 1 + wire.MaxLateListeners - standbyDescriptors
 
-// Shares of the soft memory limit while one process replaces another. The leaving one has most of the
-// connections and messages.
+// Shares of the soft memory limit while one process replaces another. The leaving one has most of
+// the connections and messages.
 const (
 	leavingMemoryShare   = 2.0 / 3
 	successorMemoryShare = 1 - leavingMemoryShare
@@ -34,10 +34,11 @@
 )
 
 // connectionsAlone returns how many client connections and how many idle connections to endpoints a
-// relay of one process may have. It divides the file descriptors that remain besides the process's own
-// files, one for each concurrent call, and connections that are still read after the end of their call.
-// Idle connections get up to a quarter of all descriptors, client connections up to half. Clients use
-// about a third; the rest is a reserve for many silent clients, so that calls never lack a descriptor.
+// relay of one process may have. It divides the file descriptors that remain besides the process's
+// own files, one for each concurrent call, and connections that are still read after the end of
+// their call. Idle connections get up to a quarter of all descriptors, client connections up to
+// half. Clients use about a third; the rest is a reserve for many silent clients, so that calls
+// never lack a descriptor.
 func connectionsAlone(c *config.Config) share.Connections {
 	reserved := ownDescriptors + wire.MaxLateListeners
 	if c.AdminAddr != "" {
@@ -48,8 +49,8 @@
 	return share.Connections{Clients: max(1, min(c.MaxDescriptors/2, remaining-idle)), Idle: idle}
 }
 
-// connections returns the limits of this process's connections. Beside a process that leaves they are
-// what that one does not keep.
+// connections returns the limits of this process's connections. Beside a process that leaves they
+// are what that one does not keep.
 func (r *relay) connections(c *config.Config) share.Connections {
 	alone := connectionsAlone(c)
 	if !r.overlapping.Load() {
@@ -70,8 +71,8 @@
 	server      *wire.Server // that they were applied to; nil: none yet
 }
 
-// applyLimits applies the limits of connections and memory, if they have changed with the configuration
-// or what another process keeps.
+// applyLimits applies the limits of connections and memory, if they have changed with the
+// configuration or what another process keeps.
 func (r *relay) applyLimits() {
 	r.limitsMu.Lock()
 	defer r.limitsMu.Unlock()
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -53,8 +53,8 @@
 	return done
 }
 
-// loadOperatorOnce loads the operator's file and its plug-ins. With an error of a plug-in it returns
-// the others, too.
+// loadOperatorOnce loads the operator's file and its plug-ins. With an error of a plug-in it
+// returns the others, too.
 func (s ConfigSources) loadOperatorOnce(ctx context.Context, c *config.Config, log *slog.Logger) (
 	pluginLoadResult, error,
 ) {
@@ -75,8 +75,9 @@
 	err    error
 }
 
-// reloadOnRequest reloads after SIGHUP, and tells the other processes of the relay to do the same: in an
-// upgrade one of them may have read the old configuration, and it may be the one that serves next.
+// reloadOnRequest reloads after SIGHUP, and tells the other processes of the relay to do the same:
+// in an upgrade one of them may have read the old configuration, and it may be the one that serves
+// next.
 func (r *relay) reloadOnRequest() {
 	r.markReload() // first, so that whoever sees the mark reads a file that is at least as recent
 	r.reload()
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -89,8 +89,8 @@
 }
 
 // watchReloads follows the reloads of other processes from now on. If there are any, it reads the
-// configuration sources once more, which may have changed since this process read them. If they can't
-// be read, the first result stays.
+// configuration sources once more, which may have changed since this process read them. If they
+// can't be read, the first result stays.
 func (r *relay) watchReloads(active bool, options startOptions) startOptions {
 	mark, err := r.stateDir.ReloadMark()
 	if err != nil {
@@ -178,7 +178,8 @@
 			return false, fmt.Errorf("operator's file: %w", result.err)
 		}
 		if result.err != nil {
-			// The relay serves anyway: messages that need a missing plug-in follow its failure rule.
+			// The relay serves anyway: messages that need a missing plug-in follow its failure
+			// rule.
 			r.log.Error("plug-ins not loaded", "err", result.err)
 		}
 		r.plugins.Replace(result.set)
--- a/internal/daemon/unfinished.go
+++ b/internal/daemon/unfinished.go
@@ -22,7 +22,8 @@
 	unreadTransfers bool              // files of the spool could not be read
 	dirs            []*processdir.Dir // each before the directory of its successor
 	// Ids of messages that were adopted, or known when something could not be read; nil: all was
-	// read. The table forgets completed messages in time, and one of them must not be adopted again.
+	// read. The table forgets completed messages in time, and one of them must not be adopted
+	// again.
 	knownIDs map[string]struct{}
 }
 
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -139,8 +139,8 @@
 	h.gossip.Close()
 }
 
-// Guards against a relay that starts drained, or not drained, against the operators' last word, since
-// that could not be written at one moment.
+// Guards against a relay that starts drained, or not drained, against the operators' last word,
+// since that could not be written at one moment.
 func TestDrainIsSavedLater(t *testing.T) {
 	dir := t.TempDir()
 	h := startSuccessor(t, dir)
@@ -172,8 +172,8 @@
 	}
 }
 
-// Guards against the messages of a process directory behind one that can't be listed at the takeover,
-// which got no end before the next start.
+// Guards against the messages of a process directory behind one that can't be listed at the
+// takeover, which got no end before the next start.
 func TestUnlistedDirIsAdoptedLater(t *testing.T) {
 	dir := t.TempDir()
 	blocked := filepath.Join(dir, "life-0", "lock") // listed first; a directory can't be locked
@@ -204,8 +204,8 @@
 	}
 }
 
-// Guards against the messages of a transfer that can't be read for longer than the takeover retries,
-// which got no end before the next start.
+// Guards against the messages of a transfer that can't be read for longer than the takeover
+// retries, which got no end before the next start.
 func TestUnreadTransferIsAdoptedLater(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
--- a/internal/daemon/upgrade_limits_test.go
+++ b/internal/daemon/upgrade_limits_test.go
@@ -84,8 +84,9 @@
 	return bytes
 }
 
-// Guards against a folder over its limit in an upgrade: while messages moved to the next process, the
-// old one took on as many again on connections that clients keep, in the room that it had given up.
+// Guards against a folder over its limit in an upgrade: while messages moved to the next process,
+// the old one took on as many again on connections that clients keep, in the room that it had given
+// up.
 func TestUpgradeBurstStaysWithinDiskLimit(t *testing.T) {
 	const limit, destinations, clients = 3_000_000, 8, 36
 	config := testdouble.Config{DiskMB: limit / 1e6, MaxPending: 347, MaxConcurrentCalls: 16}
@@ -175,8 +176,8 @@
 	return len(entries), anonKiB
 }
 
-// Guards against two processes of one relay that go over its limits together: in an upgrade beside a
-// crowd each counted its connections and its memory for itself.
+// Guards against two processes of one relay that go over its limits together: in an upgrade beside
+// a crowd each counted its connections and its memory for itself.
 func TestUpgradeBesideCrowdStaysWithinLimits(t *testing.T) {
 	const maxDescriptors, memoryMB, crowd = 512, 96, 1200
 	_, old := startWorld(t, testdouble.Config{Partners: partners, MaxDescriptors: maxDescriptors, MemoryMB: memoryMB,
--- a/internal/daemon/upgrade_reload_test.go
+++ b/internal/daemon/upgrade_reload_test.go
@@ -7,9 +7,9 @@
 	"oatfold/internal/testdouble"
 )
 
-// Guards against a new process that serves with an old configuration: SIGHUP reached the old process
-// while the new one stood by or took over, and nobody told that one. It counts for the relay, whichever
-// of its processes gets it.
+// Guards against a new process that serves with an old configuration: SIGHUP reached the old
+// process while the new one stood by or took over, and nobody told that one. It counts for the
+// relay, whichever of its processes gets it.
 func TestReloadDuringUpgrade(t *testing.T) {
 	for name, hangup := range map[string]func(t *testing.T, old, next *testdouble.Relay){
 		"serving beside a standby": func(t *testing.T, old, _ *testdouble.Relay) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,6 +1,6 @@
 // Package handover defines what two processes of one relay agree on while one replaces the other:
-// the state that is transferred, and what the leaving process does when. Package share divides their
-// limits meanwhile. It does no I/O and reads no clock.
+// the state that is transferred, and what the leaving process does when. Package share divides
+// their limits meanwhile. It does no I/O and reads no clock.
 package handover
 
 import (
@@ -51,9 +51,9 @@
 	HostPort string          `json:"at"`
 }
 
-// ForRestart returns the part of an adopted update that a successor which is killed and starts again
-// has to know: what is still pending at the sender, and what that one keeps. All else is older by then
-// than what the relay has seen or was ordered since.
+// ForRestart returns the part of an adopted update that a successor which is killed and starts
+// again has to know: what is still pending at the sender, and what that one keeps. All else is
+// older by then than what the relay has seen or was ordered since.
 func (u *Update) ForRestart() *Update {
 	kept := *u
 	kept.Drained, kept.SitesOut, kept.EndpointList, kept.LearnedState = nil, nil, nil, nil
--- a/internal/handover/processdir/processdir.go
+++ b/internal/handover/processdir/processdir.go
@@ -396,8 +396,8 @@
 	return os.WriteFile(s.path(drainedName), nil, 0o600)
 }
 
-// reloadPrefix starts the name of an empty file whose number grows with each reload that a process of
-// the relay was told to make.
+// reloadPrefix starts the name of an empty file whose number grows with each reload that a process
+// of the relay was told to make.
 const reloadPrefix = "reload-"
 
 // ReloadMark returns the number of reloads that processes of the relay were told to make.
--- a/internal/handover/processdir/processdir_test.go
+++ b/internal/handover/processdir/processdir_test.go
@@ -185,8 +185,8 @@
 	}
 }
 
-// Guards against deadlines that a step of the wall clock moves at every later start, since the clock
-// mark could not be written at the first one.
+// Guards against deadlines that a step of the wall clock moves at every later start, since the
+// clock mark could not be written at the first one.
 func TestClockMarkIsWrittenLater(t *testing.T) {
 	dir := t.TempDir()
 	blocked := filepath.Join(dir, clockMarkName+tmpExt)
--- a/internal/handover/share/connections_test.go
+++ b/internal/handover/share/connections_test.go
@@ -6,9 +6,9 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against two processes of one relay that hold more descriptors than it may: each counted for
-// itself. Whatever is open as one begins to leave, and however late the other one learns of it, both
-// stay within what one process may have.
+// Guards against two processes of one relay that hold more descriptors than it may: each counted
+// for itself. Whatever is open as one begins to leave, and however late the other one learns of it,
+// both stay within what one process may have.
 func TestConnectionsOfBothProcesses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		alone := Connections{Clients: rapid.IntRange(2, 600).Draw(t, "clients"), Idle: rapid.IntRange(1, 300).Draw(t, "idle")}
--- a/internal/handover/share/disk.go
+++ b/internal/handover/share/disk.go
@@ -1,7 +1,7 @@
 // Package share divides a relay's limits between two of its processes while one replaces the other.
-// The process that leaves keeps a share that only shrinks, and tells its size with each transfer; the
-// other one may use the rest. So what both may use never exceeds the limit, however late the other
-// one learns of a change. The package does no I/O and reads no clock.
+// The process that leaves keeps a share that only shrinks, and tells its size with each transfer;
+// the other one may use the rest. So what both may use never exceeds the limit, however late the
+// other one learns of a change. The package does no I/O and reads no clock.
 package share
 
 import "oatfold/internal/memory/journal/plan"
@@ -49,8 +49,8 @@
 // free returns what the share has beyond what its process needs.
 func (l LeavingDisk) free(use DiskUse) int64 { return max(0, l.bytes-use.Spooled-use.Needed) }
 
-// MaxTransferBytes bounds the messages of a transfer. It has room for one with the longest body, 64 KiB,
-// and all that goes with it.
+// MaxTransferBytes bounds the messages of a transfer. It has room for one with the longest body, 64
+// KiB, and all that goes with it.
 const MaxTransferBytes = 80 << 10
 
 // Transfer is the size of a transfer, in bytes.
@@ -67,8 +67,8 @@
 	return plan.DiskSize(t.Messages+plan.BlockSize) + plan.DiskSize(t.Kept) + t.Reserve
 }
 
-// needs returns what a transfer takes of the share until it is adopted: its file is in the spool, and
-// what it passes is given up already.
+// needs returns what a transfer takes of the share until it is adopted: its file is in the spool,
+// and what it passes is given up already.
 func (t Transfer) needs() int64 { return plan.DiskSize(t.File) + t.Passed() }
 
 // Fits reports whether a transfer may be written now.
@@ -80,8 +80,8 @@
 	return min(max(0, l.free(use)-t.needs())/2, MaxTransferBytes)
 }
 
-// Pass gives up what a transfer passes. It is called before the transfer is written, with the result as
-// what this process keeps.
+// Pass gives up what a transfer passes. It is called before the transfer is written, with the
+// result as what this process keeps.
 func (l *LeavingDisk) Pass(t Transfer) { l.bytes -= t.Passed() }
 
 // Restore takes back what was passed with a transfer that could not be written.
--- a/internal/handover/share/disk_test.go
+++ b/internal/handover/share/disk_test.go
@@ -153,8 +153,8 @@
 	}
 }
 
-// restartSuccessor kills the successor and starts it again. It knows what the spool says once it has
-// scanned that, which it does before it serves.
+// restartSuccessor kills the successor and starts it again. It knows what the spool says once it
+// has scanned that, which it does before it serves.
 func (m *upgradeModel) restartSuccessor() {
 	m.successor.copying, m.successor.budget, m.told = 0, 0, -1
 	if m.latest.size > 0 {
@@ -183,8 +183,8 @@
 }
 
 // Guards against a folder over its limit in an upgrade: the same room was given out to the leaving
-// process, to its successor and to the copies of an adoption. Whatever the order in which both accept,
-// transfer, compact, look at the disk, end or start again, the files stay within the limit.
+// process, to its successor and to the copies of an adoption. Whatever the order in which both
+// accept, transfer, compact, look at the disk, end or start again, the files stay within the limit.
 func TestUpgradeStaysWithinDiskLimit(t *testing.T) {
 	const plays = 2000
 	for seed := range uint64(plays) {
--- a/internal/memory/journal/bodies.go
+++ b/internal/memory/journal/bodies.go
@@ -9,8 +9,8 @@
 
 // Bodies beyond the memory limit are only in the journal, and are read from there for each attempt.
 
-// SetMaxBodyBytes changes the bytes that journaled bodies may use in memory, and those that are not in
-// the journal. It counts for new messages.
+// SetMaxBodyBytes changes the bytes that journaled bodies may use in memory, and those that are not
+// in the journal. It counts for new messages.
 func (j *Journal) SetMaxBodyBytes(limit int64) { j.config.MaxBodyBytes = limit }
 
 // LimitBodyMemory releases the body of m, whose record is committed, if bodies exceed their memory
--- a/internal/memory/journal/journal.go
+++ b/internal/memory/journal/journal.go
@@ -113,8 +113,8 @@
 // SetBudget it forgets no completion and keeps the reserve file.
 func (j *Journal) SetShare(budget int64) { j.config.Budget = budget }
 
-// EnableReserve creates the reserve file, if there is none and the budget has room for one. Without it
-// no message is accepted.
+// EnableReserve creates the reserve file, if there is none and the budget has room for one. Without
+// it no message is accepted.
 func (j *Journal) EnableReserve() {
 	j.config.NoReserve = false
 	if j.reserveSize == 0 && !j.unavailable && j.activeFile != nil {
@@ -236,8 +236,8 @@
 		j.rotate()
 	}
 	j.compact()
-	// On a full disk a compaction may need the space of the reserve for its copy. It gets that every
-	// other time only: it may fail again and again.
+	// On a full disk a compaction may need the space of the reserve for its copy. It gets that
+	// every other time only: it may fail again and again.
 	j.reserveDeferred = j.unavailable && j.compacting && !j.reserveDeferred
 	if !j.reserveDeferred && j.createReserve() && j.unavailable && j.activeFile != nil {
 		j.markWritable()
--- a/internal/memory/journal/plan/plan.go
+++ b/internal/memory/journal/plan/plan.go
@@ -41,12 +41,12 @@
 // DeadBytes returns the number of bytes that compaction would free.
 func (s Segment) DeadBytes() int64 { return s.Size - s.LiveBytes - s.RetainedBytes }
 
-// ReservedBytes returns the part of the budget that is kept free for the remaining records of pending
-// messages, which take reserved bytes, and for the copy that compaction makes of a segment.
+// ReservedBytes returns the part of the budget that is kept free for the remaining records of
+// pending messages, which take reserved bytes, and for the copy that compaction makes of a segment.
 func ReservedBytes(budget, reserved int64) int64 { return reservedForCopy(budget) + reserved }
 
-// reservedForCopy returns the bytes that are always reserved for a copy: at most half the budget, so
-// that a small one still accepts messages.
+// reservedForCopy returns the bytes that are always reserved for a copy: at most half the budget,
+// so that a small one still accepts messages.
 func reservedForCopy(budget int64) int64 { return min(DiskSize(SegmentSize(budget)), budget/2) }
 
 // Fits reports whether a message with a record of that many bytes may be accepted. used is the
@@ -77,8 +77,8 @@
 	return budget
 }
 
-// settledSize bounds the space that all files use once all messages are completed and compaction has
-// nothing left to do: the reserve file, the remembered completions in files of which fewer than
+// settledSize bounds the space that all files use once all messages are completed and compaction
+// has nothing left to do: the reserve file, the remembered completions in files of which fewer than
 // MinRun wait to be merged, and the active segment. Of each file almost two blocks may be dead.
 func settledSize(budget int64) int64 {
 	completions := CompletionLimit(budget)
@@ -120,8 +120,9 @@
 // ShouldSeal reports whether a segment of that size is full before more bytes are added.
 func ShouldSeal(budget, size, more int64) bool { return size > 0 && size+more > SegmentSize(budget) }
 
-// ShouldSealActive reports whether the active segment is to be sealed, though it is not full, so that
-// it can be compacted: messages are refused, and that frees more than the new segment's header takes.
+// ShouldSealActive reports whether the active segment is to be sealed, though it is not full, so
+// that it can be compacted: messages are refused, and that frees more than the new segment's header
+// takes.
 func ShouldSealActive(space Space, active Segment) bool {
 	return space.Refused && active.DeadBytes() >= 2*BlockSize
 }
@@ -138,8 +139,8 @@
 	return s.Used+ReservedBytes(s.Budget, s.Reserved)+2*SegmentSize(s.Budget) > s.Budget
 }
 
-// ChooseSegment returns the index of the segment to compact, or -1: the one with the most dead bytes
-// of those that are worth it, the oldest among equals.
+// ChooseSegment returns the index of the segment to compact, or -1: the one with the most dead
+// bytes of those that are worth it, the oldest among equals.
 func ChooseSegment(space Space, segments []Segment) int {
 	best, mostDead := -1, int64(0)
 	for i, segment := range segments {
@@ -153,8 +154,8 @@
 // fits reports whether a copy of that many bytes stays within the budget.
 func (s Space) fits(copyBytes int64) bool { return s.Used+DiskSize(copyBytes) <= s.Budget }
 
-// CopyReserve returns the bytes to keep free for a copy that is being written, beyond those that are
-// always reserved for one.
+// CopyReserve returns the bytes to keep free for a copy that is being written, beyond those that
+// are always reserved for one.
 func CopyReserve(budget, copyBytes int64) int64 {
 	return max(0, DiskSize(copyBytes)-reservedForCopy(budget))
 }
@@ -166,10 +167,10 @@
 	return s.fits(segment.CopyBytes) || s.Refused && segment.LiveBytes == 0
 }
 
-// worthCompacting reports whether a segment that is not busy holds no pending message, or has at least
-// BlockSize dead bytes, and half of it and MinDeadBytes are dead or space is short. Completions are
-// rewritten if half of them are dead, or messages are refused: they expire one by one, and would be
-// rewritten for each few of them.
+// worthCompacting reports whether a segment that is not busy holds no pending message, or has at
+// least BlockSize dead bytes, and half of it and MinDeadBytes are dead or space is short.
+// Completions are rewritten if half of them are dead, or messages are refused: they expire one by
+// one, and would be rewritten for each few of them.
 func worthCompacting(space Space, segment Segment) bool {
 	dead := segment.DeadBytes()
 	needed := segment.LiveBytes + segment.RetainedBytes
@@ -188,8 +189,8 @@
 	return 2*dead >= segment.Size && dead >= MinDeadBytes || space.short()
 }
 
-// ChooseCompaction returns the segments to compact into one: first to end-1, none if both are equal.
-// It chooses between one segment and a run that is worth merging by what that frees.
+// ChooseCompaction returns the segments to compact into one: first to end-1, none if both are
+// equal. It chooses between one segment and a run that is worth merging by what that frees.
 func ChooseCompaction(space Space, segments []Segment) (first, end int) {
 	first, end, freed := ChooseRun(space, segments)
 	if i := ChooseSegment(space, segments); i >= 0 && segments[i].DeadBytes() >= freed {
--- a/internal/memory/journal/space.go
+++ b/internal/memory/journal/space.go
@@ -86,10 +86,10 @@
 }
 
 // createReserve creates the reserve file, whose space is released when the disk is full so that
-// completions can still be written. It makes it smaller after the budget was lowered, which a share of
-// the budget does not, and larger once there is room. After a failed write it is written anew in any
-// case, which shows whether the disk takes writes again. It reports whether the reserve is there; if
-// not, Maintain tries again.
+// completions can still be written. It makes it smaller after the budget was lowered, which a share
+// of the budget does not, and larger once there is room. After a failed write it is written anew in
+// any case, which shows whether the disk takes writes again. It reports whether the reserve is
+// there; if not, Maintain tries again.
 func (j *Journal) createReserve() bool {
 	if j.config.NoReserve {
 		return true
@@ -119,21 +119,22 @@
 	return true
 }
 
-// CommittedBytes returns the space that the files use, with the records that are still to be written
-// and the copy that a running compaction writes.
+// CommittedBytes returns the space that the files use, with the records that are still to be
+// written and the copy that a running compaction writes.
 func (j *Journal) CommittedBytes() int64 {
 	return j.usedBytes() + j.batchBytes + j.reserves.bytes() + plan.DiskSize(j.copyBytes)
 }
 
-// NeededBytes returns the smallest share with which the journal can write all records that may follow
-// for the messages that it holds, and compact its segments, which were sealed under the disk limit.
+// NeededBytes returns the smallest share with which the journal can write all records that may
+// follow for the messages that it holds, and compact its segments, which were sealed under the disk
+// limit.
 func (j *Journal) NeededBytes(limit int64) int64 {
 	return j.usedBytes() + j.batchBytes + plan.ReservedBytes(limit, j.reserves.bytes()) +
 		plan.CopyReserve(limit, j.copyBytes)
 }
 
-// MessageReserve returns the space that is reserved for the records that may follow for a message with
-// an id of that many bytes.
+// MessageReserve returns the space that is reserved for the records that may follow for a message
+// with an id of that many bytes.
 func (j *Journal) MessageReserve(idBytes int) int64 {
 	return plan.MessageReserve(j.reserves.maxAttempts, idBytes)
 }
--- a/internal/testdouble/relay.go
+++ b/internal/testdouble/relay.go
@@ -120,8 +120,8 @@
 	return os.WriteFile(r.config, r.env.configJSON(filepath.Base(r.StateDir), r.Addr, r.fleet), 0o600)
 }
 
-// MoveDiscovery writes the configuration file with another address of discovery. Processes read it at
-// their start and after SIGHUP.
+// MoveDiscovery writes the configuration file with another address of discovery. Processes read it
+// at their start and after SIGHUP.
 func (r *Relay) MoveDiscovery(addr string) error {
 	content, err := os.ReadFile(r.config)
 	if err != nil {
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -66,8 +66,8 @@
 	return ids
 }
 
-// prepare reads the bodies and asks plug-ins for what they change of the call. It reports whether any
-// message is left to send in time: what plug-ins take must not count against the endpoint.
+// prepare reads the bodies and asks plug-ins for what they change of the call. It reports whether
+// any message is left to send in time: what plug-ins take must not count against the endpoint.
 func (cl *call) prepare(plugins *plugin.Set) (sendable bool, err error) {
 	if err = cl.loadBodies(); cl.includedCount() == 0 {
 		return false, err
@@ -251,8 +251,8 @@
 	return append(b, body...)
 }
 
-// appendConnectionFields appends the header fields that say where the call goes and whether it is the
-// last one on its connection.
+// appendConnectionFields appends the header fields that say where the call goes and whether it is
+// the last one on its connection.
 func appendConnectionFields(b []byte, cl *call) []byte {
 	b = appendField(b, "Host", cl.endpoint.addr)
 	if cl.last {
--- a/internal/wire/conn_limit_test.go
+++ b/internal/wire/conn_limit_test.go
@@ -42,9 +42,9 @@
 
 const unfinishedRequest = "POST /alert HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"
 
-// Guards against a process that goes over its connection limit as it ends: a crowd that waits in the
-// accept queue was accepted whole, whatever the limit. Requests on connections that are open are
-// answered all the same.
+// Guards against a process that goes over its connection limit as it ends: a crowd that waits in
+// the accept queue was accepted whole, whatever the limit. Requests on connections that are open
+// are answered all the same.
 func TestConnectionLimitHoldsWhileEnding(t *testing.T) {
 	const limit, crowd = 4, 40
 	for name, end := range map[string]func(*Server){
@@ -105,8 +105,8 @@
 	}
 }
 
-// Guards against a connection limit that a reload lowers and that binds only later: idle connections
-// above it close at once.
+// Guards against a connection limit that a reload lowers and that binds only later: idle
+// connections above it close at once.
 func TestLoweredConnectionLimitClosesIdleOnes(t *testing.T) {
 	server, _, ln := startServer(t, 100, 8)
 	var clients []*bufio.Reader
--- a/internal/wire/gossip.go
+++ b/internal/wire/gossip.go
@@ -55,8 +55,8 @@
 	return s, nil
 }
 
-// Close closes the socket, which ends receiveLoop and sendLoop. Messages that are queued from then on
-// are dropped. It may be called more than once, and while others use the socket.
+// Close closes the socket, which ends receiveLoop and sendLoop. Messages that are queued from then
+// on are dropped. It may be called more than once, and while others use the socket.
 func (s *GossipSocket) Close() {
 	s.closeOnce.Do(func() {
 		s.sock.Close()
--- a/internal/wire/gossip_test.go
+++ b/internal/wire/gossip_test.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// A process that ends does not wait for a host that takes no more events: the loop that receives ends
-// with its socket.
+// A process that ends does not wait for a host that takes no more events: the loop that receives
+// ends with its socket.
 func TestGossipReceiveLoopEnds(t *testing.T) {
 	addrs := []string{reserveUDPAddr(t), reserveUDPAddr(t)}
 	receiver, err := ListenGossip(addrs[0], addrs, discardLog)
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -213,8 +213,8 @@
 	h.Do(func(h *Host) { h.journal.SetMaxBodyBytes(bytes) })
 }
 
-// SetUntoldJournalShare sets the journal's share beside a leaving process that does not tell its own.
-// others is what all other files take, of limit bytes.
+// SetUntoldJournalShare sets the journal's share beside a leaving process that does not tell its
+// own. others is what all other files take, of limit bytes.
 func (h *Host) SetUntoldJournalShare(limit, others int64) {
 	h.Do(func(h *Host) {
 		h.journal.SetShare(share.UntoldDisk(limit, h.journal.UsedBytes(), others))
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -284,8 +284,8 @@
 	})
 }
 
-// Guards against a folder over its limit after SIGHUP: a reload gave the journal the whole limit, of
-// which other files and other processes take their part.
+// Guards against a folder over its limit after SIGHUP: a reload gave the journal the whole limit,
+// of which other files and other processes take their part.
 func TestReloadKeepsJournalShare(t *testing.T) {
 	env := startEnv(t, answerOK)
 	env.host.SetJournalBudget(1 << 20)
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -246,8 +246,8 @@
 }
 
 // Reload applies a validated configuration: settings and limits at once, then discovery's address.
-// Pending messages, calls in flight and the journal's share of the disk stay; the endpoint list stays
-// until the new address has sent its own.
+// Pending messages, calls in flight and the journal's share of the disk stay; the endpoint list
+// stays until the new address has sent its own.
 func (h *Host) Reload(config HostConfig, discovery string) (err error) {
 	h.Do(func(h *Host) {
 		config.Settings.ClockOffset = h.settings.ClockOffset
--- a/internal/wire/leaving.go
+++ b/internal/wire/leaving.go
@@ -10,8 +10,8 @@
 )
 
 // leavingProcess writes the transfers of a process that hands over, and keeps its journal and its
-// transfers within a share of the disk limit. What it gives up of that it never takes back: the next
-// process may use it from when it is told.
+// transfers within a share of the disk limit. What it gives up of that it never takes back: the
+// next process may use it from when it is told.
 type leavingProcess struct {
 	write      func([]byte) error
 	processDir string
@@ -22,8 +22,8 @@
 	told       share.Kept    // what the next process was told last
 }
 
-// What is worth a transfer of its own once it is given up: a part of the disk limit, by which that is
-// divided, and a number of client connections.
+// What is worth a transfer of its own once it is given up: a part of the disk limit, by which that
+// is divided, and a number of client connections.
 const (
 	tellDiskDivisor = 32
 	tellConns       = 16
@@ -61,9 +61,9 @@
 	return l.told.DiskBytes-l.disk.Bytes() >= l.use.Limit/tellDiskDivisor || l.told.ClientConns-l.conns >= tellConns
 }
 
-// fitUpdate returns the size of a transfer of an update without messages. What the next process can do
-// without is left out of one that does not fit into the share: first the endpoint list, which it gets
-// from discovery as well, then what was learned.
+// fitUpdate returns the size of a transfer of an update without messages. What the next process can
+// do without is left out of one that does not fit into the share: first the endpoint list, which it
+// gets from discovery as well, then what was learned.
 func (l *leavingProcess) fitUpdate(update *handover.Update) share.Transfer {
 	l.use.Needed = l.journal.NeededBytes(l.use.Limit)
 	size := l.measure(nil, update)
--- a/internal/wire/members_test.go
+++ b/internal/wire/members_test.go
@@ -84,8 +84,8 @@
 }
 
 // The second process of an upgrade exceeds the incarnation of the first, whether it joins the fleet
-// before or after it learns of that. Run IDs do not suffice: one pair in 256 draws the same, and the
-// fleet then took the second process for the first.
+// before or after it learns of that. Run IDs do not suffice: one pair in 256 draws the same, and
+// the fleet then took the second process for the first.
 func TestNextProcessExceedsIncarnation(t *testing.T) {
 	identity := FleetIdentity{MembershipEnabled: true, Zone: members.NoZone}
 	join := func(env *testEnv) {
--- a/internal/wire/sites.go
+++ b/internal/wire/sites.go
@@ -129,8 +129,8 @@
 	return zones
 }
 
-// takeSitesOut takes out the sites that operators had taken out before a new plan, or at the process
-// before.
+// takeSitesOut takes out the sites that operators had taken out before a new plan, or at the
+// process before.
 func (h *Host) takeSitesOut(zones []string) {
 	if h.siteWatch == nil {
 		return
--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -87,8 +87,8 @@
 }
 
 // TransferRemaining transfers what is left: what did not fit, messages accepted since, and those
-// that calls left unfinished. It lowers this process's share of the limits to what it uses by now, and
-// writes a file only if mayWrite is set.
+// that calls left unfinished. It lowers this process's share of the limits to what it uses by now,
+// and writes a file only if mayWrite is set.
 func (h *Host) TransferRemaining(use LeavingUse, mayWrite bool) {
 	h.Do(func(h *Host) {
 		if h.leavingProcess == nil {
--- a/internal/wire/transfer_test.go
+++ b/internal/wire/transfer_test.go
@@ -132,8 +132,9 @@
 	})
 }
 
-// Guards against an upgrade in which a relay of many endpoints forgets what it learned of them: that is
-// passed on whatever its size, as long as the folder has room, and the endpoint list is left out first.
+// Guards against an upgrade in which a relay of many endpoints forgets what it learned of them:
+// that is passed on whatever its size, as long as the folder has room, and the endpoint list is
+// left out first.
 func TestLargeUpdateIsPassedOn(t *testing.T) {
 	for name, c := range map[string]struct {
 		free                  int64 // of the share
