--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -29,7 +29,7 @@
 
 // HandOver stops the policy steps and transfers this process's state and all messages that are not
 // in flight to the next process, as far as its share of the disk has room; TransferRemaining sends
-// the rest. If the first file cannot be written, nothing changes but the journal's share.
+// the rest. If the first file cannot be written, nothing changes.
 func (h *Host) HandOver(handOver Handover) (err error) {
 	h.Do(func(h *Host) {
 		waiting := h.callsAwaitingNotification
@@ -65,9 +65,11 @@
 			return int(int64(a.Number) - int64(b.Number))
 		})
 		h.reportedInFlight = -1
+		budget := h.journal.SpaceUse().Budget
 		leaving := newLeaving(handOver, h.journal)
 		if err = h.transferPending(leaving, update, share.MaxTransferBytes); err != nil {
 			h.untransferredRetryAfters, h.untransferred = nil, nil
+			h.journal.SetShare(budget)
 			return
 		}
 		h.leavingProcess, h.stepsStopped, h.arrivals, h.pendingEvents = leaving, true, nil, nil
--- a/internal/wire/transfer_test.go
+++ b/internal/wire/transfer_test.go
@@ -164,3 +164,17 @@
 		})
 	}
 }
+
+// Guards against a planned stop with half a journal: a process whose handover can't begin has the
+// whole budget again.
+func TestFailedHandoverKeepsJournalBudget(t *testing.T) {
+	env := startEnv(t, answerOK)
+	if err := env.handOver(func([]byte) error { return journal.ErrUnavailable }, false, 0); err == nil {
+		t.Fatal("handed over without a transfer")
+	}
+	env.host.Do(func(h *Host) {
+		if budget := h.journal.SpaceUse().Budget; budget != testDiskLimit || h.leavingProcess != nil {
+			t.Errorf("the journal may use %d bytes, want %d", budget, testDiskLimit)
+		}
+	})
+}
