Test the limits of a reload beside a process that leaves

TestReloadBesideLeavingProcess does: alone, beside a process that tells nothing, that keeps all or none, and alone again. No other code changes.

--- /dev/null
+++ b/internal/daemon/process_limits_test.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"runtime/debug"
+	"testing"
+	"time"
+
+	"oatfold/internal/daemon/config"
+	"oatfold/internal/handover/share"
+	"oatfold/policy"
+)
+
+// Guards against a reload in an upgrade that gives the new process the limits of one that is alone,
+// while the process before still has its share.
+func TestReloadBesideLeavingProcess(t *testing.T) {
+	memoryLimit := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(memoryLimit) })
+	h := startSuccessor(t, t.TempDir())
+	h.cancelPluginLoad = func() {}
+	c := &config.Config{DiskBytes: 1 << 20, MemoryBytes: 96 << 20, MaxDescriptors: 512, AdminAddr: "127.0.0.1:1",
+		DiscoveryAddr: "127.0.0.1:1", Settings: policy.Settings{Relays: 1, MaxConcurrentCalls: 16, MaxPending: 9,
+			MaxAttempts: 1, Tick: time.Millisecond, Classes: []policy.Class{{Name: "fee", Effect: policy.Unsafe, Ordered: true,
+				TargetLatency: 1, Deadline: 1 << 40, Value: 1}}}}
+	h.current.Store(c)
+	h.bodyBytes = 12 << 20
+	alone := connectionsAlone(c)
+	expect := func(when string, connections share.Connections, bodyBytes int64) {
+		t.Helper()
+		h.applyReload(context.Background(), configReadResult{config: c})
+		if h.limits.connections != connections || h.limits.bodyBytes != bodyBytes {
+			t.Errorf("%s: %+v, want %+v and %d", when, h.limits, connections, bodyBytes)
+		}
+	}
+	expect("alone", alone, h.bodyBytes)
+	h.overlapping.Store(true)
+	expect("beside one that tells nothing", share.UntoldConnections(alone), h.bodyBytes/overlapBodyDivisor)
+	h.kept.tell("1", &share.Kept{ProcessDir: "life-1", ClientConns: alone.Clients})
+	expect("beside one that keeps all", share.SuccessorConnections(alone, alone.Clients, successorDescriptors),
+		h.bodyBytes/overlapBodyDivisor)
+	h.kept.tell("1", &share.Kept{ProcessDir: "life-1"})
+	expect("beside one that keeps none", share.SuccessorConnections(alone, 0, successorDescriptors),
+		h.bodyBytes/overlapBodyDivisor)
+	h.overlapping.Store(false)
+	expect("alone again", alone, h.bodyBytes)
+}
