Lock the reload mark, so that a listing beside a rename can't lose a reload

Cause: the mark is a number in a file's name, which grows by a rename. A listing of the folder that takes several system calls may see neither name. The reader then took the mark for 0, and MarkReload began again with reload-1 beside the higher one, which no other process sees as a change.

Change: reading takes a shared lock on the folder, marking an exclusive one.

--- a/internal/handover/processdir/processdir.go
+++ b/internal/handover/processdir/processdir.go
@@ -396,46 +396,6 @@
 	return os.WriteFile(s.path(drainedName), nil, 0o600)
 }
 
-// reloadPrefix starts the name of an empty file whose number grows with each reload that a process
-// of the relay was told to make.
-const reloadPrefix = "reload-"
-
-// ReloadMark returns the number of reloads that processes of the relay were told to make.
-func (s *StateDir) ReloadMark() (mark int64, err error) {
-	entries, err := os.ReadDir(s.dir)
-	for _, e := range entries {
-		if number, found := strings.CutPrefix(e.Name(), reloadPrefix); found {
-			if n, err := strconv.ParseInt(number, 10, 64); err == nil {
-				mark = max(mark, n)
-			}
-		}
-	}
-	return mark, err
-}
-
-// MarkReload tells the other processes of the relay to reload, and returns the new mark.
-func (s *StateDir) MarkReload() (mark int64, err error) {
-	path := func(mark int64) string { return s.path(reloadPrefix + strconv.FormatInt(mark, 10)) }
-	for {
-		if mark, err = s.ReloadMark(); err != nil {
-			return 0, err
-		}
-		if mark == 0 {
-			file, err := os.OpenFile(path(1), os.O_CREATE|os.O_EXCL, 0o600)
-			if err == nil {
-				return 1, file.Close()
-			}
-			if !errors.Is(err, fs.ErrExist) {
-				return 0, err
-			}
-			continue // another process has just created it
-		}
-		if err = os.Rename(path(mark), path(mark+1)); !errors.Is(err, fs.ErrNotExist) {
-			return mark + 1, err // else another process has just renamed it
-		}
-	}
-}
-
 // WriteTransfer adds a file to the spool atomically.
 func (s *StateDir) WriteTransfer(content []byte) error {
 	dir := s.path(spoolName)
--- a/internal/handover/processdir/processdir_test.go
+++ b/internal/handover/processdir/processdir_test.go
@@ -1,6 +1,8 @@
 package processdir
 
 import (
+	"errors"
+	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -9,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"oatfold/internal/clock"
 )
 
@@ -259,3 +263,83 @@
 		t.Errorf("mark %d of %d, %d different ones, %v", mark, 2*each, len(seen), err)
 	}
 }
+
+// Guards against a reload that other processes are not told of: a listing of the folder missed the
+// file of the mark, which was renamed meanwhile, so that the count began anew.
+func TestReloadMarkNeverFalls(t *testing.T) {
+	dir := t.TempDir()
+	const markers, each = 2, 300
+	const otherFiles = 500 // so that a listing takes several system calls
+	for n := range otherFiles {
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("other-%d", n)), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	open := func() *StateDir {
+		stateDir, err := Open(dir, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return stateDir
+	}
+	var marking, reading sync.WaitGroup
+	marked := make(chan struct{})
+	reader := open()
+	reading.Go(func() {
+		for last := int64(0); ; {
+			mark, err := reader.ReloadMark()
+			if err != nil && !errors.Is(err, errMarkBusy) || err == nil && mark < last {
+				t.Errorf("mark %d after %d, %v", mark, last, err)
+			}
+			last = max(last, mark)
+			select {
+			case <-marked:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+	for range markers {
+		process := open()
+		marking.Go(func() {
+			for count := 0; count < each; {
+				_, err := process.MarkReload()
+				if err == nil {
+					count++
+				} else if !errors.Is(err, errMarkBusy) { // as callers do, it tries again
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	marking.Wait()
+	close(marked)
+	reading.Wait()
+	if mark, err := reader.ReloadMark(); mark != markers*each || err != nil {
+		t.Errorf("mark %d of %d, %v", mark, markers*each, err)
+	}
+}
+
+// A process that stopped while it held the mark keeps another one for a moment only.
+func TestReloadMarkIsBounded(t *testing.T) {
+	dir := t.TempDir()
+	stateDir, err := Open(dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	unlock, err := stateDir.lockReloadMark(unix.LOCK_EX)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := stateDir.MarkReload(); !errors.Is(err, errMarkBusy) {
+		t.Errorf("marked beside another process: %v", err)
+	}
+	if _, err := stateDir.ReloadMark(); !errors.Is(err, errMarkBusy) {
+		t.Errorf("read beside another process: %v", err)
+	}
+	unlock()
+	if mark, err := stateDir.MarkReload(); mark != 1 || err != nil {
+		t.Errorf("mark %d, %v", mark, err)
+	}
+}
