--- a/internal/testdouble/testdouble_test.go
+++ b/internal/testdouble/testdouble_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -174,3 +175,25 @@
 		t.Errorf("%v", n)
 	}
 }
+
+// Guards against a relay that finds its address in use: a process that was started by another test
+// at the same time still had the listener that reserved it.
+func TestNoAddressIsReservedDuringStart(t *testing.T) {
+	syscall.ForkLock.Lock() // as the start of a process does
+	reserved := make(chan error, 1)
+	go func() {
+		_, err := ReserveAddr()
+		reserved <- err
+	}()
+	select {
+	case <-reserved:
+		t.Error("reserved while a process is started")
+		syscall.ForkLock.Unlock()
+		return
+	case <-time.After(50 * time.Millisecond):
+	}
+	syscall.ForkLock.Unlock()
+	if err := <-reserved; err != nil {
+		t.Error(err)
+	}
+}
