Compare the metrics with messages that took effect, without their repeats

Cause: the test is wrong. Entries has each run, "deduplicated repeats included". An order whose answer is late is sent again with its key, the partner drops the repeat, and the metric counts one message, as it should.

Change: messages are counted by name. In its place orders and charges are now checked to have taken effect once, by the same log; the attempts are compared with the metric as before.

--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -424,10 +424,7 @@
 			metric, _, _ := strings.Cut(name, "{")
 			sum[metric] += n
 		}
-		effects := map[string]int{}
-		for _, e := range w.EffectLog.Entries() {
-			effects[strings.Split(e.Name, "/")[0]]++
-		}
+		effects := messagesRun(w)
 		for _, c := range testdouble.DefaultClasses {
 			if got, want := all[fmt.Sprintf("passed{category=%q}", c.Name)], effects[c.Name]-before[c.Name]; got != want {
 				t.Errorf("%s: %d passed of %s, the effect log has %d", what, got, c.Name, want)
@@ -465,10 +462,7 @@
 	w.Partners[1].SetMode(testdouble.RefusingConnections, 1)
 	w.Partners[2].SetMode(testdouble.RefusingConnections, 1)
 	submittedBefore, rejectedBefore := submitted, total()
-	before := map[string]int{}
-	for _, e := range w.EffectLog.Entries() {
-		before[strings.Split(e.Name, "/")[0]]++
-	}
+	before := messagesRun(w)
 	send(15)
 	remaining := submitted - submittedBefore - (total() - rejectedBefore)
 	r.Kill()
@@ -482,6 +476,22 @@
 		t.Error("no messages were left")
 	}
 	check("second run", remaining, 0, int(attempts.Load())-attemptsBefore, before)
+	for _, class := range []string{"order-relay", "fee-charge"} {
+		if duplicates := w.EffectLog.Duplicates(class); len(duplicates) > 0 {
+			t.Errorf("took effect more than once: %v", duplicates)
+		}
+	}
+}
+
+// messagesRun counts the messages that took effect, by class. A repeat of an attempt whose answer
+// was late is no further message.
+func messagesRun(w *testdouble.Environment) map[string]int {
+	counts := map[string]int{}
+	for name := range w.EffectLog.CountByName() {
+		class, _, _ := strings.Cut(name, "/")
+		counts[class]++
+	}
+	return counts
 }
 
 // A start with an address that is in use fails with one line that names the key, and does not touch
