End the discovery watch with its host

Seen: TestReloadBesideLeavingProcess left a goroutine behind that goes on asking at its discovery's address, which another process may have by then. In a relay the process ends just after; it costs tests only.

Cause: nobody ended the watch that a host had begun; the tests of wire did so by hand.

Change: Run ends it as it returns.

--- a/internal/daemon/process_limits_test.go
+++ b/internal/daemon/process_limits_test.go
@@ -6,11 +6,21 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"oatfold/internal/daemon/config"
 	"oatfold/internal/handover/share"
+	"oatfold/internal/wire"
 	"oatfold/policy"
 )
 
+// feeSettings are settings with one class of charges.
+func feeSettings() policy.Settings {
+	return policy.Settings{Relays: 1, MaxConcurrentCalls: 16, MaxPending: 9, MaxAttempts: 1, Tick: time.Millisecond,
+		Classes: []policy.Class{{Name: "fee", Effect: policy.Unsafe, Ordered: true, TargetLatency: 1,
+			Deadline: 1 << 40, Value: 1}}}
+}
+
 // Guards against a reload in an upgrade that gives the new process the limits of one that is alone,
 // while the process before still has its share.
 func TestReloadBesideLeavingProcess(t *testing.T) {
@@ -19,9 +29,7 @@
 	h := startSuccessor(t, t.TempDir())
 	h.cancelPluginLoad = func() {}
 	c := &config.Config{DiskBytes: 1 << 20, MemoryBytes: 96 << 20, MaxDescriptors: 512, AdminAddr: "127.0.0.1:1",
-		DiscoveryAddr: "127.0.0.1:1", Settings: policy.Settings{Relays: 1, MaxConcurrentCalls: 16, MaxPending: 9,
-			MaxAttempts: 1, Tick: time.Millisecond, Classes: []policy.Class{{Name: "fee", Effect: policy.Unsafe, Ordered: true,
-				TargetLatency: 1, Deadline: 1 << 40, Value: 1}}}}
+		DiscoveryAddr: "127.0.0.1:1", Settings: feeSettings()}
 	h.current.Store(c)
 	h.bodyBytes = 12 << 20
 	alone := connectionsAlone(c)
@@ -44,3 +52,14 @@
 	h.overlapping.Store(false)
 	expect("alone again", alone, h.bodyBytes)
 }
+
+// Guards against a watch of discovery that goes on after its host has ended, and asks at a port
+// that another process may have by then.
+func TestWatchEndsWithHost(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) }) // runs after the host's own
+	h := startSuccessor(t, t.TempDir())
+	if err := h.host.Reload(wire.HostConfig{Settings: feeSettings()}, "127.0.0.1:1"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -236,15 +236,20 @@
 	if at := h.agentAddr.Load(); at != nil && *at == discovery {
 		return
 	}
-	if h.cancelWatch != nil {
-		h.cancelWatch()
-	}
+	h.endWatch()
 	h.agentAddr.Store(&discovery)
 	h.watchCtx, h.cancelWatch = context.WithCancel(context.Background())
 	go watchEndpointList(h.watchCtx, listWatcher{addr: discovery, generation: h.listGeneration,
 		fleetSize: h.settings.Relays, polled: h.settings.MustSubscribe, seed: h.seed}, h.events, h.log)
 }
 
+// endWatch ends the discovery watch, if there is one.
+func (h *Host) endWatch() {
+	if h.cancelWatch != nil {
+		h.cancelWatch()
+	}
+}
+
 // Reload applies a validated configuration: settings and limits at once, then discovery's address.
 // Pending messages, calls in flight and the journal's share of the disk stay; the endpoint list
 // stays until the new address has sent its own.
@@ -321,8 +326,9 @@
 // command is a function to run on the host's goroutine.
 type command func(h *Host)
 
-// Run handles events until stop is closed.
+// Run handles events until stop is closed. Then it ends the discovery watch.
 func (h *Host) Run(stop <-chan struct{}) {
+	defer h.endWatch()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -125,7 +125,6 @@
 		env.server.Shutdown()
 		close(stop)
 		<-done
-		env.host.cancelWatch() // else it keeps polling a port that other tests may reuse
 		env.endpoint.CloseClientConnections()
 		env.endpoint.Close()
 		env.platform.CloseClientConnections()
