Divide the limits of a process that leaves while the one before it still does

Callers: three processes of one relay could go over its descriptors and memory together, where an upgrade followed another within the 3.45 s that the first process may take to leave.

Cause: a process that begins to leave took half of the client connections, two thirds of the memory and half of the memory for bodies of a process that is alone, though it had less beside the first one; and the third one counted the fixed descriptors of one process besides its own, not of two.

Change: it keeps a share of what it had, and each process in between is counted. The division of memory is a function of package share, next to those of disk and connections.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,8 +55,8 @@
 	reloadMark        int64                   // in the state folder, as last seen
 	reloadUnmarked    bool                    // the state folder does not tell the latest reload yet
 
-	takingOver       atomic.Bool // the previous process is still leaving
-	overlapping      atomic.Bool // another process still has a share of the limits
+	takingOver       atomic.Bool  // the previous process is still leaving
+	leavingProcesses atomic.Int32 // that still have a share of the limits
 	limitsMu         sync.Mutex
 	limits           processLimits // as applied last; guarded by limitsMu
 	bodyBytes        int64         // that bodies of pending messages may take in memory
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -8,7 +8,6 @@
 	"oatfold/internal/drain"
 	"oatfold/internal/handover"
 	"oatfold/internal/handover/processdir"
-	"oatfold/internal/handover/share"
 	"oatfold/internal/memory"
 	"oatfold/internal/memory/journal"
 	"oatfold/internal/transient"
@@ -72,7 +71,7 @@
 		s.host.EndTransferScan()
 	}
 	s.updateJournalShare()
-	s.overlapping.Store(leaving)
+	s.leavingProcesses.Store(int32(len(s.leaving)))
 	s.applyLimits()
 	return leaving
 }
@@ -250,9 +249,9 @@
 		return false
 	}
 	began, server := time.Now(), r.server.Load()
-	keptClients := r.beginLeaving(server)
+	conns := r.beginLeaving(server)
 	if r.host.HandOver(wire.Handover{Send: r.stateDir.WriteTransfer, ProcessDir: r.dir.Name,
-		Use: wire.LeavingUse{Disk: r.diskUse(), ClientConns: keptClients}, Drained: server.Drained()}) != nil {
+		Use: wire.LeavingUse{Disk: r.diskUse(), ClientConns: conns.kept}, Drained: server.Drained()}) != nil {
 		r.restoreLimits()
 		return false
 	}
@@ -271,9 +270,8 @@
 		// Read in this order: once the listener is closed, no connection is added.
 		progress.Listening = server.Accepting()
 		progress.Elapsed, progress.ClientConns = time.Since(began), server.OpenConnections()
-		keptClients = share.LowerClients(keptClients, progress.ClientConns,
-			share.MaxClientsLeaving(connectionsAlone(r.configuration())), progress.Listening)
-		r.host.TransferRemaining(wire.LeavingUse{Disk: r.diskUse(), ClientConns: keptClients},
+		conns.lower(progress.ClientConns, progress.Listening)
+		r.host.TransferRemaining(wire.LeavingUse{Disk: r.diskUse(), ClientConns: conns.kept},
 			r.stateDir.OwnTransfers() < maxPendingTransfers)
 		if !readsStopped && progress.Elapsed >= stopReadsAfter {
 			server.StopReads()
--- a/internal/daemon/process_limits.go
+++ b/internal/daemon/process_limits.go
@@ -25,14 +25,6 @@
 // processes share one limit.
 const successorDescriptors = ownDescriptors + admin.MaxConns + 1 + wire.MaxLateListeners - standbyDescriptors
 
-// Shares of the soft memory limit while one process replaces another. The leaving one has most of
-// the connections and messages.
-const (
-	leavingMemoryShare   = 2.0 / 3
-	successorMemoryShare = 1 - leavingMemoryShare
-	overlapBodyDivisor   = 2 // of the memory for bodies, for each of the two
-)
-
 // connectionsAlone returns how many client connections and how many idle connections to endpoints a
 // relay of one process may have. It divides the file descriptors that remain besides the process's
 // own files, one for each concurrent call, and connections that are still read after the end of
@@ -49,25 +41,31 @@
 	return share.Connections{Clients: max(1, min(c.MaxDescriptors/2, remaining-idle)), Idle: idle}
 }
 
-// connections returns the limits of this process's connections. Beside a process that leaves they
-// are what that one does not keep.
+// connections returns the limits of this process's connections. Beside processes that leave they
+// are what those do not keep, less what each process in between needs in any case.
 func (r *relay) connections(c *config.Config) share.Connections {
 	alone := connectionsAlone(c)
-	if !r.overlapping.Load() {
+	leaving := int(r.leavingProcesses.Load())
+	if leaving == 0 {
 		return alone
 	}
 	kept, told := r.kept.clientConns()
 	if !told {
 		return share.UntoldConnections(alone)
 	}
-	return share.SuccessorConnections(alone, kept, successorDescriptors)
+	return share.SuccessorConnections(alone, kept, leaving*successorDescriptors)
+}
+
+// memory returns the limits of this process's memory.
+func (r *relay) memory(c *config.Config) share.Memory {
+	alone := share.Memory{Limit: memoryTarget(c), Bodies: r.bodyBytes}
+	return alone.Successor(int(r.leavingProcesses.Load()))
 }
 
 // processLimits are the limits of a process.
 type processLimits struct {
 	connections share.Connections
-	memoryBytes int64        // soft limit of the runtime
-	bodyBytes   int64        // that bodies of pending messages may take in memory
+	memory      share.Memory
 	server      *wire.Server // that they were applied to; nil: none yet
 }
 
@@ -77,11 +75,7 @@
 	r.limitsMu.Lock()
 	defer r.limitsMu.Unlock()
 	c := r.configuration()
-	limits := processLimits{r.connections(c), memoryTarget(c), r.bodyBytes, r.server.Load()}
-	if r.overlapping.Load() {
-		limits.memoryBytes = int64(float64(limits.memoryBytes) * successorMemoryShare)
-		limits.bodyBytes /= overlapBodyDivisor
-	}
+	limits := processLimits{r.connections(c), r.memory(c), r.server.Load()}
 	if limits == r.limits {
 		return
 	}
@@ -90,8 +84,12 @@
 	if limits.server != nil {
 		limits.server.SetMaxConns(limits.connections.Clients)
 	}
-	debug.SetMemoryLimit(limits.memoryBytes)
-	r.host.SetBodyMemory(limits.bodyBytes)
+	r.applyMemory(limits.memory)
+}
+
+func (r *relay) applyMemory(memory share.Memory) {
+	debug.SetMemoryLimit(memory.Limit)
+	r.host.SetBodyMemory(memory.Bodies)
 }
 
 // restoreLimits undoes beginLeaving, where the handover could not begin.
@@ -102,14 +100,24 @@
 	r.applyLimits()
 }
 
-// beginLeaving lowers the limits of this process to its share beside the one that replaces it, and
-// returns how many client connections it keeps.
-func (r *relay) beginLeaving(server *wire.Server) (kept int) {
+// leavingConns are the client connections of a process that leaves.
+type leavingConns struct {
+	kept int // that it keeps, as the next process is told
+	most int // limit of open ones
+}
+
+// beginLeaving lowers the limits of this process to its share beside the one that replaces it.
+// Beside another one that still leaves, that is a share of what this process had.
+func (r *relay) beginLeaving(server *wire.Server) leavingConns {
 	c := r.configuration()
-	alone := connectionsAlone(c)
-	kept = share.KeepClients(alone, server.OpenConnections())
-	server.SetMaxConns(share.MaxClientsLeaving(alone))
-	debug.SetMemoryLimit(int64(float64(memoryTarget(c)) * leavingMemoryShare))
-	r.host.SetBodyMemory(r.bodyBytes / overlapBodyDivisor)
-	return kept
+	own := r.connections(c)
+	conns := leavingConns{kept: share.KeepClients(own, server.OpenConnections()), most: share.MaxClientsLeaving(own)}
+	server.SetMaxConns(conns.most)
+	r.applyMemory(r.memory(c).Leaving())
+	return conns
+}
+
+// lower takes account of the connections that are open now.
+func (l *leavingConns) lower(open int, listening bool) {
+	l.kept = share.LowerClients(l.kept, open, l.most, listening)
 }
