Keep a drain order that is newer than a transfer that could be read only later

Callers: a relay that operators had put back into service could be recorded as drained again, and start drained the next time, where the first transfer of the process before could not be read for over 5 s in an upgrade. Found by reading.

Cause: what an upgrade passes on once was applied whenever it was read, also after this process had begun to serve and to take orders itself.

Change: a transfer that is adopted after the takeover passes on no drain, as it passes on nothing else that is outdated.

Measured: TestLateTransferUndoesNoOrder fails before ("recorded as drained: true") and passes; the daemon's tests of what is adopted later pass.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -180,7 +180,7 @@
 			s.log.Error("transfer not adopted", "file", name, "err", err)
 			continue
 		}
-		if update.Drained != nil {
+		if update.Drained != nil && !s.finishing { // by then this process has had orders of its own
 			s.inheritDrain(*update.Drained)
 		}
 		if !leaving {
--- a/internal/daemon/unfinished_test.go
+++ b/internal/daemon/unfinished_test.go
@@ -204,17 +204,14 @@
 	}
 }
 
-// Guards against the messages of a transfer that can't be read for longer than the takeover
-// retries, which got no end before the next start.
-func TestUnreadTransferIsAdoptedLater(t *testing.T) {
-	t.Parallel()
-	dir := t.TempDir()
+// hideTransfer writes a transfer that can't be read until the returned function is called.
+func hideTransfer(t *testing.T, dir string, messages []*memory.Message, update *handover.Update) (restore func()) {
+	t.Helper()
 	old, err := processdir.Open(dir, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := old.WriteTransfer(journal.EncodeTransfer(
-		[]*memory.Message{newCharge(3, 0)}, (&handover.Update{}).Encode(), clock.Scale{})); err != nil {
+	if err := old.WriteTransfer(journal.EncodeTransfer(messages, update.Encode(), clock.Scale{})); err != nil {
 		t.Fatal(err)
 	}
 	path := filepath.Join(dir, "spool", old.Transfers()[0])
@@ -224,16 +221,43 @@
 	if err := os.Symlink("/proc/self/mem", path); err != nil { // reading it fails with EIO
 		t.Fatal(err)
 	}
+	return func() {
+		t.Helper()
+		if err := os.Rename(path+".away", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against the messages of a transfer that can't be read for longer than the takeover
+// retries, which got no end before the next start.
+func TestUnreadTransferIsAdoptedLater(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	restore := hideTransfer(t, dir, []*memory.Message{newCharge(3, 0)}, &handover.Update{})
 	h := startSuccessor(t, dir)
 	h.takeOver()
 	if pending, _ := h.host.Load(); pending != 0 || !h.unadopted.remains() {
 		t.Fatalf("%d pending, to be adopted later: %t", pending, h.unadopted.remains())
 	}
-	if err := os.Rename(path+".away", path); err != nil {
-		t.Fatal(err)
-	}
+	restore()
 	h.finish()
 	if pending, _ := h.host.Load(); pending != 1 || h.unadopted.remains() || len(h.stateDir.Transfers()) > 0 {
 		t.Errorf("%d pending, to be adopted later: %t, transfers %v", pending, h.unadopted.remains(), h.stateDir.Transfers())
 	}
 }
+
+// Guards against an order that a transfer undoes which could be read only after it: the process
+// before was drained, and this one was told since that the relay serves.
+func TestLateTransferUndoesNoOrder(t *testing.T) {
+	t.Parallel()
+	dir, drained := t.TempDir(), true
+	restore := hideTransfer(t, dir, nil, &handover.Update{Drained: &drained})
+	h := startSuccessor(t, dir)
+	h.takeOver()
+	restore()
+	h.finish()
+	if h.unadopted.remains() || h.stateDir.Drained() || h.inheritedDrain != nil {
+		t.Errorf("to be adopted later: %t, recorded as drained: %t", h.unadopted.remains(), h.stateDir.Drained())
+	}
+}
