Take no room of the state folder before a takeover knows what others keep

Callers: where a successor was killed and its place taken while the old process still left, the new process wrote its reserve file (a 64th of disk_mb), and might have written a compaction's copy, in room that the leaving one had not given up.

What a leaving process keeps is in the spool, which is read later.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -96,9 +96,10 @@
 	if err != nil {
 		return r.startFailed(err)
 	}
-	options = r.watchReloads(active, options)
+	besideOthers := !active || r.leftByOthers()
+	options = r.watchReloads(besideOthers, options)
 	r.bodyBytes = options.bodyBytes
-	messages, err := r.openJournal(active)
+	messages, err := r.openJournal(besideOthers)
 	if err != nil {
 		return r.startFailed(err)
 	}
@@ -108,7 +109,7 @@
 	if loaded, err := r.loadPlugins(ctx); !loaded {
 		return err
 	}
-	hostSettings := r.startHostConfig(active, options, messages)
+	hostSettings := r.startHostConfig(active, besideOthers, options, messages)
 	stopHost, err := r.startHost(hostSettings)
 	if err != nil {
 		return err
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -91,12 +91,12 @@
 // watchReloads follows the reloads of other processes from now on. If there are any, it reads the
 // configuration sources once more, which may have changed since this process read them. If they
 // can't be read, the first result stays.
-func (r *relay) watchReloads(active bool, options startOptions) startOptions {
+func (r *relay) watchReloads(besideOthers bool, options startOptions) startOptions {
 	mark, err := r.stateDir.ReloadMark()
 	if err != nil {
 		r.log.Warn("the state folder's reload mark can't be read", "err", err)
 	}
-	if r.reloadMark = mark; active && !r.leftByOthers() {
+	if r.reloadMark = mark; !besideOthers {
 		return options
 	}
 	before := r.configuration()
@@ -150,18 +150,22 @@
 	table   *memory.Table
 }
 
-// openJournal opens the journal in this process's directory with what is left of the disk limit. A
-// standby leaves that to the process that serves, and writes no reserve file yet.
-func (r *relay) openJournal(active bool) (opened openedJournal, err error) {
+// openJournal opens the journal in this process's directory with what is left of the disk limit.
+// Beside others, whether it stands by or takes over, it writes no reserve file yet and keeps to
+// what it has until the takeover knows what they keep.
+func (r *relay) openJournal(besideOthers bool) (opened openedJournal, err error) {
 	budget := share.SuccessorDisk(r.diskBytes(), r.stateDir.UsedBytes(r.dir))
 	err = r.retryStart("journal can't be opened", func() (err error) {
 		opened.journal, opened.table, err = journal.Open(journal.Config{FS: journal.Dir(r.dir.Path), Budget: budget,
-			NoReserve: !active, MaxBodyBytes: r.bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: r.log})
+			NoReserve: besideOthers, MaxBodyBytes: r.bodyBytes, TimeScale: r.stateDir.TimeScale(), Log: r.log})
 		return err
 	})
 	if err != nil {
 		return opened, fmt.Errorf("ROUTER_STATE: %w", err)
 	}
+	if besideOthers {
+		opened.journal.SetShare(opened.journal.CommittedBytes())
+	}
 	return opened, nil
 }
 
@@ -190,13 +194,12 @@
 }
 
 // startHostConfig returns the configuration of the host. An active process opens gossip for it.
-func (r *relay) startHostConfig(active bool, options startOptions, messages openedJournal) wire.HostConfig {
+func (r *relay) startHostConfig(active, besideOthers bool, options startOptions, messages openedJournal) wire.HostConfig {
 	settings := hostConfig(r.configuration(), r.connections(r.configuration()))
 	settings.ZoneNames, settings.HomeZone, settings.Sites = r.zoneNames, r.home(), options.sitePlan
 	settings.Plugins, settings.Metrics, settings.Log = r.plugins, r.metrics, r.log
 	settings.Table, settings.Journal = messages.table, messages.journal
-	settings.DateScale = r.stateDir.TimeScale()
-	settings.Standby = !active || r.leftByOthers()
+	settings.DateScale, settings.Standby = r.stateDir.TimeScale(), besideOthers
 	if active {
 		if r.listenGossip(r.configuration()); r.gossip != nil {
 			settings.GossipSocket, settings.Identity = r.gossip, fleetIdentity(r.configuration())
