Keep the limit of pending messages across the processes of an upgrade

With a limit of 40 and 100 clients that keep their connections it held 126 to 128.

A process that hands over passes on what it takes, so its own count stays low; the next one adopts without a limit.

Change: the leaving process keeps what it holds and half of what is free, gives up what it passes on, what has ended, and what its open connections can't bring any more, and tells that with its transfers. The next one may hold the rest. A message that does not fit is turned away, at both.

--- a/internal/daemon/kept_shares.go
+++ b/internal/daemon/kept_shares.go
@@ -9,7 +9,8 @@
 	"oatfold/internal/handover/share"
 )
 
-// This file divides the disk limit between the processes of one relay.
+// This file keeps what leaving processes have of the limits, and divides the disk limit between the
+// processes of one relay.
 
 // keptShares is what leaving processes keep of the limits, as they told it last.
 type keptShares struct {
@@ -39,15 +40,16 @@
 	clear(k.bySender)
 }
 
-// clientConns returns how many client connections the leaving processes keep together. told is
-// false if none of them told.
-func (k *keptShares) clientConns() (count int, told bool) {
+// counts returns how many client connections and messages the leaving processes keep together. told
+// is false if none of them told.
+func (k *keptShares) counts() (clientConns, pending int, told bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, kept := range k.byDir {
-		count += kept.ClientConns
+		clientConns += kept.ClientConns
+		pending += kept.Pending
 	}
-	return count, len(k.byDir) > 0
+	return clientConns, pending, len(k.byDir) > 0
 }
 
 // dirs returns the directories of the processes that told what they keep.
--- a/internal/daemon/process_limits.go
+++ b/internal/daemon/process_limits.go
@@ -9,7 +9,7 @@
 	"oatfold/internal/wire"
 )
 
-// This file divides the limits of descriptors and memory: over the kinds of connections, and
+// This file divides the limits of descriptors, memory and messages: over the kinds of connections, and
 // between the processes of one relay while one replaces the other.
 
 // ownDescriptors is the number of descriptors for the process itself: standard streams, journal,
@@ -49,13 +49,25 @@
 	if leaving == 0 {
 		return alone
 	}
-	kept, told := r.kept.clientConns()
+	kept, _, told := r.kept.counts()
 	if !told {
 		return share.UntoldConnections(alone)
 	}
 	return share.SuccessorConnections(alone, kept, leaving*successorDescriptors)
 }
 
+// pendingElsewhere returns how many messages the processes that leave may still hold.
+func (r *relay) pendingElsewhere(c *config.Config) int {
+	if r.leavingProcesses.Load() == 0 {
+		return 0
+	}
+	_, kept, told := r.kept.counts()
+	if !told {
+		return share.UntoldPending(c.Settings.MaxPending)
+	}
+	return kept
+}
+
 // memory returns the limits of this process's memory.
 func (r *relay) memory(c *config.Config) share.Memory {
 	alone := share.Memory{Limit: memoryTarget(c), Bodies: r.bodyBytes}
@@ -66,6 +78,7 @@
 type processLimits struct {
 	connections share.Connections
 	memory      share.Memory
+	pending     int          // messages that other processes may hold
 	server      *wire.Server // that they were applied to; nil: none yet
 }
 
@@ -75,12 +88,13 @@
 	r.limitsMu.Lock()
 	defer r.limitsMu.Unlock()
 	c := r.configuration()
-	limits := processLimits{r.connections(c), r.memory(c), r.server.Load()}
+	limits := processLimits{r.connections(c), r.memory(c), r.pendingElsewhere(c), r.server.Load()}
 	if limits == r.limits {
 		return
 	}
 	r.limits = limits
 	r.host.SetMaxIdleConns(limits.connections.Idle)
+	r.host.SetPendingElsewhere(limits.pending)
 	if limits.server != nil {
 		limits.server.SetMaxConns(limits.connections.Clients)
 	}
--- a/internal/handover/share/disk.go
+++ b/internal/handover/share/disk.go
@@ -9,9 +9,10 @@
 // Kept is what a leaving process keeps of the relay's limits from now on. Later values are never
 // larger.
 type Kept struct {
-	ProcessDir  string `json:"dir"`   // name of the process's directory
-	DiskBytes   int64  `json:"disk"`  // for its journal, and its transfers in the spool
-	ClientConns int    `json:"conns"` // connections of clients
+	ProcessDir  string `json:"dir"`     // name of the process's directory
+	DiskBytes   int64  `json:"disk"`    // for its journal, and its transfers in the spool
+	ClientConns int    `json:"conns"`   // connections of clients
+	Pending     int    `json:"pending"` // messages that it holds
 }
 
 // DiskUse is the use of the disk limit as a leaving process sees it, in bytes.
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -208,6 +208,12 @@
 	return committed
 }
 
+// SetPendingElsewhere sets how many messages processes before this one may still hold, which this
+// one may not.
+func (h *Host) SetPendingElsewhere(count int) {
+	h.Do(func(h *Host) { h.pendingElsewhere = count })
+}
+
 // SetBodyMemory sets the bytes that bodies of pending messages may use in memory; 0: no limit.
 func (h *Host) SetBodyMemory(bytes int64) {
 	h.Do(func(h *Host) { h.journal.SetMaxBodyBytes(bytes) })
--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -157,7 +157,7 @@
 		t.Errorf("submitted after the handover: answered %d", got)
 	}
 	close(release)
-	full := LeavingUse{Disk: share.DiskUse{Limit: testDiskLimit, Spooled: testDiskLimit}}
+	full := LeavingUse{Disk: share.DiskUse{Limit: testDiskLimit, Spooled: testDiskLimit}, ClientConns: testClientConns}
 	env.host.TransferRemaining(full, true)
 	mu.Lock()
 	if len(transferred) != 1 {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -100,6 +100,7 @@
 	stepsBlockedUntil         policy.Time            // the first step after a policy restart waits until then
 	standby                   bool                   // another process of this relay runs the policy engine
 	leavingProcess            *leavingProcess        // writes files for the next process; nil: no handover in progress
+	pendingElsewhere          int                    // messages that processes before this one may still hold
 	untransferred             []*memory.Message      // messages that are still to be transferred
 	untransferredRetryAfters  []handover.RetryAfter  // for the next process, or for this one's policy engine
 	reportedInFlight          int                    // calls in flight, as last reported to the next process
--- a/internal/wire/leaving.go
+++ b/internal/wire/leaving.go
@@ -19,20 +19,23 @@
 	disk       share.LeavingDisk
 	use        share.DiskUse // as last seen, and with the transfers written since
 	conns      int           // client connections that it keeps
+	pending    int           // messages that it may hold
 	told       share.Kept    // what the next process was told last
 }
 
 // What is worth a transfer of its own once it is given up: a part of the disk limit, by which that
-// is divided, and a number of client connections.
+// is divided, and numbers of client connections and of messages.
 const (
 	tellDiskDivisor = 32
 	tellConns       = 16
+	tellPending     = 16
 )
 
 // newLeaving returns a process that begins to hand over, and lowers its journal's share.
-func newLeaving(handOver Handover, messages *journal.Journal) *leavingProcess {
+// pending is how many messages it may hold.
+func newLeaving(handOver Handover, messages *journal.Journal, pending int) *leavingProcess {
 	l := &leavingProcess{write: handOver.Send, processDir: handOver.ProcessDir, journal: messages,
-		use: handOver.Use.Disk, conns: handOver.Use.ClientConns}
+		use: handOver.Use.Disk, conns: handOver.Use.ClientConns, pending: pending}
 	l.use.Needed = messages.NeededBytes(l.use.Limit)
 	l.disk = share.KeepDisk(l.use)
 	l.told = l.kept()
@@ -42,15 +45,17 @@
 
 // kept returns what the process keeps now.
 func (l *leavingProcess) kept() share.Kept {
-	return share.Kept{ProcessDir: l.processDir, DiskBytes: l.disk.Bytes(), ClientConns: l.conns}
+	return share.Kept{ProcessDir: l.processDir, DiskBytes: l.disk.Bytes(), ClientConns: l.conns, Pending: l.pending}
 }
 
-// update lowers the shares by what the process no longer needs.
-func (l *leavingProcess) update(use LeavingUse) {
+// update lowers the shares by what the process no longer needs. pending is how many messages it
+// holds.
+func (l *leavingProcess) update(use LeavingUse, pending int) {
 	l.use = use.Disk
 	l.use.Needed = l.journal.NeededBytes(l.use.Limit)
 	l.disk.Lower(l.use)
 	l.conns = min(l.conns, use.ClientConns)
+	l.pending = share.LowerPending(l.pending, pending, l.conns)
 	l.applyShare()
 }
 
@@ -58,7 +63,8 @@
 
 // hasShareToTell reports whether enough was given up for a transfer without messages.
 func (l *leavingProcess) hasShareToTell() bool {
-	return l.told.DiskBytes-l.disk.Bytes() >= l.use.Limit/tellDiskDivisor || l.told.ClientConns-l.conns >= tellConns
+	return l.told.DiskBytes-l.disk.Bytes() >= l.use.Limit/tellDiskDivisor ||
+		l.told.ClientConns-l.conns >= tellConns || l.told.Pending-l.pending >= tellPending
 }
 
 // fitUpdate returns the size of a transfer of an update without messages. What the next process can
@@ -104,6 +110,7 @@
 func (l *leavingProcess) send(msgs []*memory.Message, update *handover.Update, scale clock.Scale) error {
 	size := l.measure(msgs, update)
 	l.disk.Pass(size)
+	l.pending -= len(msgs)
 	kept := l.kept() // has no more digits than it was measured with
 	update.Kept = &kept
 	content := journal.EncodeTransfer(msgs, update.Encode(), scale)
@@ -112,6 +119,7 @@
 	l.applyShare()
 	if err := l.write(content); err != nil {
 		l.disk.Restore(size)
+		l.pending += len(msgs)
 		l.use.Spooled -= fileBytes
 		l.applyShare()
 		return err
--- a/internal/wire/lifecycle.go
+++ b/internal/wire/lifecycle.go
@@ -67,6 +67,15 @@
 	message *memory.Message
 }
 
+// pendingLimit returns how many messages this process may hold: in an upgrade those of all processes
+// count.
+func (h *Host) pendingLimit() int {
+	if h.leavingProcess != nil {
+		return h.leavingProcess.pending
+	}
+	return h.settings.MaxPending - h.pendingElsewhere
+}
+
 // submit accepts or rejects a message. Its client is answered once the iteration's records are in
 // the journal.
 func (h *Host) submit(e submitRequest) (*memory.Message, submitResult) {
@@ -85,7 +94,7 @@
 	} else if !listed && len(h.destKinds) > 0 {
 		return nil, h.reject()
 	}
-	if h.table.PendingCount() < h.settings.MaxPending {
+	if h.table.PendingCount() < h.pendingLimit() {
 		e.message.Number, e.message.Unanswered = h.table.NextNumber(), true
 		// A full journal is counted as a rejection below.
 		if h.journal.AppendAccepted(h.table, e.message, e.message.Effect == policy.Safe) == nil {
--- a/internal/wire/transfer.go
+++ b/internal/wire/transfer.go
@@ -66,7 +66,7 @@
 		})
 		h.reportedInFlight = -1
 		budget := h.journal.SpaceUse().Budget
-		leaving := newLeaving(handOver, h.journal)
+		leaving := newLeaving(handOver, h.journal, share.KeepPending(h.pendingLimit(), h.table.PendingCount()))
 		if err = h.transferPending(leaving, update, share.MaxTransferBytes); err != nil {
 			h.untransferredRetryAfters, h.untransferred = nil, nil
 			h.journal.SetShare(budget)
@@ -96,7 +96,7 @@
 		if h.leavingProcess == nil {
 			return
 		}
-		h.leavingProcess.update(use)
+		h.leavingProcess.update(use, h.table.PendingCount())
 		if mayWrite {
 			h.transferPending(h.leavingProcess, &handover.Update{}, share.MaxTransferBytes)
 		}
--- a/internal/wire/transfer_test.go
+++ b/internal/wire/transfer_test.go
@@ -35,8 +35,11 @@
 	})
 }
 
-// testDiskLimit is the disk limit of the processes in tests.
-const testDiskLimit = 3_000_000
+// Limits of the processes in tests.
+const (
+	testDiskLimit   = 3_000_000
+	testClientConns = 100 // that a leaving process keeps
+)
 
 // diskWith returns a use of the disk with which a process that begins to leave may pass on capacity
 // bytes at once; transfers of others take the rest.
@@ -49,17 +52,19 @@
 func (env *testEnv) handOver(send func([]byte) error, drained bool, capacity int64) error {
 	var use share.DiskUse
 	env.host.Do(func(h *Host) { use = diskWith(h, capacity) })
-	return env.host.HandOver(Handover{Send: send, ProcessDir: "life-1", Use: LeavingUse{Disk: use}, Drained: drained})
+	return env.host.HandOver(Handover{Send: send, ProcessDir: "life-1",
+		Use: LeavingUse{Disk: use, ClientConns: testClientConns}, Drained: drained})
 }
 
 // transferRemaining transfers what is left, with nothing in the spool.
 func (env *testEnv) transferRemaining() {
-	env.host.TransferRemaining(LeavingUse{Disk: share.DiskUse{Limit: testDiskLimit}}, true)
+	env.host.TransferRemaining(LeavingUse{Disk: share.DiskUse{Limit: testDiskLimit}, ClientConns: testClientConns}, true)
 }
 
 // handOverTo has a host without its event loop hand over.
 func handOverTo(h *Host, send func([]byte) error) {
-	h.leavingProcess = newLeaving(Handover{Send: send, Use: LeavingUse{Disk: diskWith(h, share.MaxTransferBytes)}}, h.journal)
+	h.leavingProcess = newLeaving(Handover{Send: send, Use: LeavingUse{Disk: diskWith(h, share.MaxTransferBytes),
+		ClientConns: testClientConns}}, h.journal, h.pendingLimit())
 }
 
 // transferRecorder collects what a host transfers.
