--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -14,8 +14,6 @@
 
 import (
 	"fmt"
-	"math"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -367,94 +365,6 @@
 	*to = append(*to, number)
 }
 
-// disseminate queues the state of a member to be sent to others, unless nothing is known of it.
-func (l *List) disseminate(number int) {
-	m := &l.members[number]
-	if m.incarnation == 0 || m.state != Alive && l.Isolated() {
-		return // an isolated relay does not spread its own suspicions
-	}
-	l.enqueue(number, freshUpdates, min(int(updateCopies*(1+l.lossRate)), 4*(len(l.members)-1)))
-}
-
-// announce queues the presence and zone of a member, with the lowest priority.
-func (l *List) announce(number int) {
-	if m := &l.members[number]; m.copiesLeft == 0 {
-		l.enqueue(number, announcements, announcementCopies)
-	}
-}
-
-// Queues of updates: not sent yet, sent and to be repeated, and presence of members.
-const (
-	freshUpdates uint8 = iota
-	repeatedUpdates
-	announcements
-	queueCount
-)
-
-// queuedUpdate is an entry of a queue. It is stale once a newer update of its member is queued.
-type queuedUpdate struct {
-	number int
-	serial uint8
-}
-
-// enqueue has an update of a member sent the given number of times.
-func (l *List) enqueue(number int, queue uint8, copies int) {
-	m := &l.members[number]
-	m.updateSerial++
-	m.copiesLeft = int8(copies)
-	l.updates[queue] = append(l.updates[queue], queuedUpdate{number, m.updateSerial})
-}
-
-// dequeue passes up to limit members to visit. Updates with copies left are queued again.
-func (l *List) dequeue(queue uint8, limit int, visit func(n int)) {
-	for remaining := len(l.updates[queue]); remaining > 0 && limit > 0; remaining-- {
-		update := l.updates[queue][0]
-		l.updates[queue] = l.updates[queue][1:]
-		m := &l.members[update.number]
-		if m.updateSerial != update.serial || m.copiesLeft == 0 {
-			continue
-		}
-		if m.copiesLeft--; m.copiesLeft > 0 {
-			to := queue
-			if queue == freshUpdates {
-				to = repeatedUpdates
-			}
-			l.updates[to] = append(l.updates[to], update)
-		}
-		visit(update.number)
-		limit--
-	}
-}
-
-// Target is a receiver of gossip in a round. Ping requests an ack.
-type Target struct {
-	To   int
-	Ping bool
-}
-
-// GossipTargets starts a round and returns up to limit receivers, the one to be pinged first. A
-// gone member is contacted now and then, so that the sides of a partition find each other again.
-func (l *List) GossipTargets(now Time, limit int) (targets []Target) {
-	l.advance(now)
-	if len(l.members) < 2 {
-		return nil
-	}
-	if n, ok := l.nextProbeTarget(); ok && l.ownProbes() < maxOwnProbes && !l.leaving {
-		targets = append(targets, Target{n, true})
-	}
-	included := func(n int) bool { return slices.ContainsFunc(targets, func(t Target) bool { return t.To == n }) }
-	if l.rounds++; len(l.gone) > 0 &&
-		(l.rounds%goneContactRounds == 0 || len(l.gone)*goneContactRounds*2 > len(l.members)) {
-		targets = append(targets, Target{To: l.gone[l.rng.IntN(len(l.gone))]})
-	}
-	for draws := 0; len(targets) < min(limit, len(l.live)) && draws < 8*limit; draws++ {
-		if n := l.live[l.rng.IntN(len(l.live))]; !included(n) {
-			targets = append(targets, Target{To: n})
-		}
-	}
-	return targets
-}
-
 // probing reports whether one of this relay's own probes of a member is in flight; with checksOnly,
 // only a check counts.
 func (l *List) probing(number int, checksOnly bool) bool {
@@ -586,18 +496,6 @@
 	return out
 }
 
-// requiredTimeouts returns how many pings in a row have to time out before a suspicion: more
-// under loss, so that a network that drops half of all datagrams does not make everybody suspect
-// everybody. The average reacts slowly to loss; timeouts of other recent probes show it at once.
-func (l *List) requiredTimeouts() int {
-	lossRate := max(l.lossRate, float64(bits.OnesCount8(l.recentTimeouts)-1)/8)
-	if lossRate <= maxFalseSilence {
-		return minProbeAttempts
-	}
-	return max(minProbeAttempts, min(maxProbeAttempts,
-		int(math.Ceil(math.Log(maxFalseSilence)/math.Log(min(lossRate, 0.9))))))
-}
-
 // indirectProbersFor draws members that may reach a member that this relay does not.
 func (l *List) indirectProbersFor(number int) (probers []int) {
 	for draws := 0; len(probers) < min(indirectProbers, len(l.live)-1) && draws < 8*indirectProbers; draws++ {
@@ -608,59 +506,6 @@
 	return probers
 }
 
-// recordLoss and recordAnswer update the loss rate with a probe of a member that turned out to be
-// alive. Silence of a member that is dead is no loss.
-func (l *List) recordLoss()   { l.lossRate += (1 - l.lossRate) * lossWeight }
-func (l *List) recordAnswer() { l.lossRate -= l.lossRate * lossWeight }
-
-// suspectSilent handles the failed probe of a member and reports whether this relay suspects it.
-func (l *List) suspectSilent(number int) (suspected bool) {
-	m := &l.members[number]
-	if since := l.now - l.lastReceivedAt; since >= Period && since < isolatedQuietTime ||
-		l.now < l.quietUntil || m.state >= Dead {
-		return false // isolated or just resumed: the silence may be due to this relay
-	}
-	l.counts.Suspicions++
-	m.suspectedHere = true
-	reason := fmt.Sprintf("no ack within %.1f s, directly or indirectly", probeTimeout.Seconds())
-	if m.incarnation == 0 {
-		reason = "no message ever received"
-	}
-	if m.state == Alive {
-		l.setState(number, Suspect, true, reason)
-	} else if !m.firstHand {
-		m.firstHand = true
-		l.disseminate(number)
-	}
-	l.recordAccuser(m, l.config.Self)
-	return true
-}
-
-// recordAccuser records that a member suspects m at first hand. Each accuser counts once.
-func (l *List) recordAccuser(m *member, from int) {
-	if len(m.accusers) < 2*fullConfirmation && !slices.Contains(m.accusers, from) {
-		m.accusers = append(m.accusers, from)
-	}
-}
-
-// suspicionTimeout returns how long a suspect may refute: longer in larger fleets and under loss,
-// shorter with each independent accuser.
-func (l *List) suspicionTimeout(m *member) Time {
-	size := float64(len(l.members))
-	shortest := minSuspicionPeriods + suspicionPeriodsPerHop*math.Log(size)/math.Log(11)
-	confirmations := float64(max(1, min(fullConfirmation, len(l.live)-1)))
-	accusers := min(float64(max(1, len(m.accusers))), confirmations)
-	periods := shortest
-	if confirmations > 1 {
-		periods += (maxSuspicionFactor - 1) * shortest * (1 - math.Log(accusers)/math.Log(confirmations))
-	}
-	periods *= 1 + lossSuspicionFactor*l.lossRate
-	if l.Isolated() {
-		periods *= isolatedSuspicionFactor
-	}
-	return time.Duration(periods * float64(Period))
-}
-
 // Leave marks this relay as leaving, because it shuts down or has drained. All later sections
 // announce it.
 func (l *List) Leave(now Time) {
