--- a/internal/daemon/process_limits.go
+++ b/internal/daemon/process_limits.go
@@ -9,8 +9,8 @@
 	"oatfold/internal/wire"
 )
 
-// This file divides the limits of descriptors, memory and messages: over the kinds of connections, and
-// between the processes of one relay while one replaces the other.
+// This file divides the limits of descriptors, memory and messages: over the kinds of connections,
+// and between the processes of one relay while one replaces the other.
 
 // ownDescriptors is the number of descriptors for the process itself: standard streams, journal,
 // poll, listener, discovery.
--- a/internal/peers/members/members.go
+++ b/internal/peers/members/members.go
@@ -286,8 +286,8 @@
 	l.members[l.config.Self].incarnation = l.incarnation
 }
 
-// RaiseAbove sets this relay's incarnation above that of an earlier process under its number. Run IDs
-// alone do not tell two processes apart: one pair in 256 draws the same.
+// RaiseAbove sets this relay's incarnation above that of an earlier process under its number. Run
+// IDs alone do not tell two processes apart: one pair in 256 draws the same.
 func (l *List) RaiseAbove(incarnation uint32) {
 	if incarnation >= l.incarnation {
 		l.raiseIncarnation(incarnation)
--- a/internal/testdouble/environment.go
+++ b/internal/testdouble/environment.go
@@ -183,9 +183,9 @@
 }
 
 // ReserveAddr returns a loopback address of its own for a listener that is opened and closed
-// repeatedly. Outgoing connections come from 127.0.0.1 and can't take its port meanwhile. No process
-// is started until the listener is closed: a child has it open until its own program runs, which
-// could keep a relay from the address.
+// repeatedly. Outgoing connections come from 127.0.0.1 and can't take its port meanwhile. No
+// process is started until the listener is closed: a child has it open until its own program runs,
+// which could keep a relay from the address.
 func ReserveAddr() (string, error) {
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
--- a/internal/wire/lifecycle.go
+++ b/internal/wire/lifecycle.go
@@ -67,8 +67,8 @@
 	message *memory.Message
 }
 
-// pendingLimit returns how many messages this process may hold: in an upgrade those of all processes
-// count.
+// pendingLimit returns how many messages this process may hold: in an upgrade those of all
+// processes count.
 func (h *Host) pendingLimit() int {
 	if h.leavingProcess != nil {
 		return h.leavingProcess.pending
