--- a/internal/wire/handover_test.go
+++ b/internal/wire/handover_test.go
@@ -321,3 +321,21 @@
 	writing.Wait()
 	env.host.Do(func(h *Host) { delete(h.calls, cl) })
 }
+
+// Guards against a new process that holds as many messages as the relay may while the one before
+// still holds some.
+func TestSuccessorLeavesPendingToPredecessor(t *testing.T) {
+	env := startEnv(t, answerOK)
+	env.block()
+	limit := testSettings().MaxPending
+	env.host.SetPendingElsewhere(limit - 2)
+	for n, want := range []int{202, 202, 503} {
+		if got := env.post(requestText("fee", fmt.Sprint("m", n), "", "b", 19000)); got != want {
+			t.Errorf("message %d was answered %d, want %d", n, got, want)
+		}
+	}
+	env.host.SetPendingElsewhere(0)
+	if got := env.post(requestText("fee", "later", "", "b", 19000)); got != 202 {
+		t.Errorf("answered %d after the process before has left", got)
+	}
+}
