Measure a folder in tests by a listing that the next one confirms

Cause: the test is wrong, not the relay. It walks the folder while the new process adopts the old one's directory: a segment that is read before it is compacted and the one that its messages moved to, read after, count twice.

Change: a listing counts once the next one finds the same files and sizes. The bound and the three moments are the same. The walk stood twice; the test of the burst uses the same function, which was its own.

--- a/internal/daemon/operation_test.go
+++ b/internal/daemon/operation_test.go
@@ -605,15 +605,7 @@
 		}
 		rejected = res.Outcome == client.Refused
 	}
-	size := func() (n int64) {
-		filepath.WalkDir(r.StateDir, func(_ string, e os.DirEntry, _ error) error {
-			if info, err := e.Info(); err == nil && !e.IsDir() {
-				n += (info.Size() + 511) / 512 * 512
-			}
-			return nil
-		})
-		return n
-	}
+	size := func() int64 { return folderBytes(r.StateDir) }
 	next, err := r.StartNextProcess()
 	if err == nil {
 		err = next.AwaitLog("standing by")
--- a/internal/daemon/upgrade_limits_test.go
+++ b/internal/daemon/upgrade_limits_test.go
@@ -70,18 +70,33 @@
 	return w.most.Load()
 }
 
-// folderBytes adds up the files of a folder, each in whole blocks.
+// folderBytes adds up the files of a folder, each in whole blocks. A listing counts once the next one
+// finds the same files and sizes: one beside a process that moves messages may count them twice.
 func folderBytes(dir string) (bytes int64) {
-	filepath.WalkDir(dir, func(_ string, e os.DirEntry, _ error) error {
+	bytes, files := listFolder(dir)
+	for range 10_000 {
+		before := files
+		if bytes, files = listFolder(dir); files == before {
+			break
+		}
+	}
+	return bytes
+}
+
+// listFolder adds up the files of a folder as they are found, and returns their names and sizes.
+func listFolder(dir string) (bytes int64, files string) {
+	var list strings.Builder
+	filepath.WalkDir(dir, func(path string, e os.DirEntry, _ error) error {
 		if e == nil || e.IsDir() {
 			return nil
 		}
 		if info, err := e.Info(); err == nil {
 			bytes += (info.Size() + 511) / 512 * 512
+			fmt.Fprintln(&list, path, info.Size())
 		}
 		return nil
 	})
-	return bytes
+	return bytes, list.String()
 }
 
 // Guards against a folder over its limit in an upgrade: while messages moved to the next process,
